--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,169 @@
+package wire
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"glenport/placer"
+)
+
+// startup reads the pairs of a start-up message and keeps the first fault met.
+type startup struct {
+	pairs map[string]string
+	fault error
+}
+
+func (s *startup) text(path string) string {
+	v, ok := s.pairs[path]
+	if !ok && s.fault == nil {
+		s.fault = fmt.Errorf("setting %s is missing", path)
+	}
+	return v
+}
+
+func (s *startup) number(path string) float64 { return s.parse(path, s.text(path)) }
+
+func (s *startup) parse(path, v string) float64 {
+	f, err := parseNumber(v)
+	if err != nil && s.fault == nil {
+		s.fault = fmt.Errorf("setting %s: %w", path, err)
+	}
+	return f
+}
+
+func (s *startup) count(path string) int {
+	n, err := strconv.Atoi(s.text(path))
+	if (err != nil || n < 0 || n > 1_000_000) && s.fault == nil {
+		s.fault = fmt.Errorf("setting %s=%q is no count", path, s.pairs[path])
+	}
+	return n
+}
+
+func (s *startup) span(path string) placer.Time { return tenths(s.number(path)) }
+func (s *startup) flag(path string) bool        { return s.choice(path, "false", "true") == 1 }
+
+// choice returns which of the words stands there.
+func (s *startup) choice(path string, words ...string) int {
+	v := s.text(path)
+	for i, w := range words {
+		if v == w {
+			return i
+		}
+	}
+	if s.fault == nil {
+		s.fault = fmt.Errorf("setting %s=%q is none of %s", path, v, strings.Join(words, ", "))
+	}
+	return 0
+}
+
+func (s *startup) list(path string) []string {
+	if v := s.text(path); v != "" && v != "-" {
+		return strings.Split(v, ",")
+	}
+	return nil
+}
+
+func (s *startup) numbers(path string, n int) []float64 {
+	words := s.list(path)
+	if len(words) != n && s.fault == nil {
+		s.fault = fmt.Errorf("setting %s has %d values, not %d", path, len(words), n)
+	}
+	out := make([]float64, n)
+	for i := 0; i < n && i < len(words); i++ {
+		out[i] = s.parse(path, words[i])
+	}
+	return out
+}
+
+func parseTerms(seed uint64, fields []string) (placer.Terms, error) {
+	s := &startup{pairs: make(map[string]string, len(fields))}
+	for _, f := range fields {
+		k, v, ok := strings.Cut(f, "=")
+		if !ok {
+			return placer.Terms{}, fmt.Errorf("setting %q has no value", f)
+		}
+		s.pairs[k] = v
+	}
+	t := placer.Terms{
+		Seed:         seed,
+		Placers:      s.count("balancers"),
+		AcceptCores:  s.number("family_info.admit_cores"),
+		AcceptMemory: s.number("family_info.mem_booking"),
+		MeanCores:    s.number("family_info.unit_cores"),
+		MeanMemory:   s.number("family_info.unit_memory"),
+		YesRuns:      s.choice("family_info.yes_at", "accepted", "running") == 1,
+		UseNotes:     s.flag("family_info.use_notes"),
+		ListedAsks:   s.flag("family_info.view"),
+		MayProbe:     s.flag("permissions.probes"),
+		MayWithdraw:  s.flag("permissions.cancel"),
+		MostBids:     s.count("permissions.max_attempts"),
+		ListOnAsk:    s.choice("registry_mode", "pushed", "on_request") == 1,
+		ColdFor:      s.span("rules.cold_ms"),
+		ColdFrom:     s.number("rules.cold_from"),
+		ColdWindow:   s.span("rules.overload_for_ms"),
+		ColdBids:     int(s.number("family_info.fresh_offers")),
+	}
+	if t.ListOnAsk {
+		t.AskWithin = s.span("rules.ask_every_ms")
+	}
+	if _, ok := s.pairs["over_share_worth"]; ok {
+		t.OverShare = s.number("over_share_worth")
+	}
+	cores := s.list("family_info.cpu_of_kind")
+	memory := s.numbers("family_info.kind_memory", len(cores))
+	for i, c := range s.numbers("family_info.cpu_of_kind", len(cores)) {
+		t.Kinds = append(t.Kinds, placer.Kind{Cores: c, Memory: memory[i]})
+	}
+	n := s.count("classes.count")
+	if s.fault != nil {
+		return t, s.fault
+	}
+	kinds, most := s.numbers("family_info.class_kind", n), s.numbers("family_info.class_most", n)
+	priority, spread := s.numbers("family_info.precedence", n), s.list("family_info.spread_over")
+	if len(spread) != n && s.fault == nil {
+		s.fault = fmt.Errorf("setting family_info.spread_over has %d values, not %d", len(spread), n)
+	}
+	places := map[string]placer.Place{"silent": placer.Nowhere, "machine": placer.OneMachine,
+		"cell": placer.OneCell, "zone": placer.OneZone}
+	for i := 0; i < n && s.fault == nil; i++ {
+		at := fmt.Sprintf("classes.%d.", i)
+		w := placer.Workload{
+			Effect:   placer.Effect(s.choice(at+"effect", "safe", "keyed", "unsafe")),
+			Agreed:   s.span(at + "aim_ms"),
+			HardStop: s.span(at + "deadline_ms"),
+			Gain:     s.number(at + "credit"),
+			Kind:     int(kinds[i]),
+			Most:     int(most[i]),
+			Priority: int(priority[i]),
+		}
+		if w.Effect == placer.Numbered {
+			w.Window = s.span(at + "window_ms")
+			w.Repeats = []placer.Place{placer.OneCell, placer.OneZone, placer.Everywhere}[s.choice(
+				at+"group", "cell", "zone", "all")]
+		}
+		place, ok := places[spread[i]]
+		if !ok {
+			s.fault = fmt.Errorf("setting family_info.spread_over: %q is no place", spread[i])
+		}
+		if w.Spread = place; w.Kind >= len(t.Kinds) {
+			s.fault = fmt.Errorf("setting family_info.class_kind: no kind %d", w.Kind)
+		}
+		t.Workloads = append(t.Workloads, w)
+	}
+	if _, ok := s.pairs["tenants.count"]; ok {
+		n := s.count("tenants.count")
+		if s.fault != nil {
+			return t, s.fault
+		}
+		quotas := make([]float64, n)
+		if _, ok := s.pairs["family_info.quota_cores"]; ok {
+			quotas = s.numbers("family_info.quota_cores", n)
+		}
+		for i := 0; i < n && s.fault == nil; i++ {
+			rate := s.number(fmt.Sprintf("tenants.%d.allowance_per_s", i))
+			t.Customers = append(t.Customers, placer.Customer{PerSecond: rate, Cores: quotas[i]})
+		}
+	}
+	return t, s.fault
+}
--- /dev/null
+++ b/internal/wire/wire.go
@@ -0,0 +1,388 @@
+// Package wire turns the simulator's lines into a placer's events, and its actions into lines.
+package wire
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+	"strings"
+
+	"glenport/placer"
+)
+
+// Delivery is one event for one instance. Start sets up a new instance, Stop ends it.
+type Delivery struct {
+	Line     int
+	Instance int
+	Event    placer.Event
+	Start    *placer.Terms
+	Stop     bool
+}
+
+// Frame is one batch of events.
+type Frame struct {
+	Now        placer.Time
+	Seq        string
+	Deliveries []Delivery
+}
+
+// Decoder reads frames and keeps the numbered lists of machines.
+type Decoder struct {
+	in   *bufio.Reader
+	line int
+	// lists holds at most 16 numbered lists; a new one takes the place of its number's last.
+	lists [16][]placer.Entry
+	known [16]bool
+}
+
+func NewDecoder(r io.Reader) *Decoder { return &Decoder{in: bufio.NewReaderSize(r, 1<<20)} }
+
+// tenths rounds down, so that no time read is later than the one sent.
+func tenths(ms float64) placer.Time { return placer.Time(math.Floor(ms*10 + 1e-6)) }
+
+func parseNumber(v string) (float64, error) {
+	f, err := strconv.ParseFloat(v, 64)
+	if err != nil || math.IsNaN(f) || math.Abs(f) > 1e14 {
+		return 0, fmt.Errorf("%q is no number", v)
+	}
+	return f, nil
+}
+
+// next returns the next line; io.EOF only where no byte of one is left.
+func (d *Decoder) next() (string, error) {
+	s, err := d.in.ReadString('\n')
+	if err == io.EOF && s != "" {
+		return "", fmt.Errorf("line %d: input ends inside a line", d.line+1)
+	}
+	if err != nil {
+		return "", err
+	}
+	d.line++
+	return strings.TrimSuffix(strings.TrimSuffix(s, "\n"), "\r"), nil
+}
+
+// Next reads a frame. It returns io.EOF at the end of input between frames.
+func (d *Decoder) Next() (*Frame, error) {
+	s, err := d.next()
+	if err != nil {
+		return nil, err
+	}
+	f := d.fields(s)
+	if f.word() != "FRAME" {
+		return nil, d.faulty(s, errors.New("a FRAME line was expected"))
+	}
+	frame := &Frame{Now: f.time(), Seq: f.word()}
+	if err := f.done(); err != nil {
+		return nil, d.faulty(s, err)
+	}
+	for {
+		s, err := d.next()
+		if err == io.EOF {
+			return nil, fmt.Errorf("line %d: input ends inside a frame", d.line)
+		}
+		if err != nil {
+			return nil, err
+		}
+		if s == "COMMIT" {
+			return frame, nil
+		}
+		if err := d.event(frame, s); err != nil {
+			return nil, d.faulty(s, err)
+		}
+	}
+}
+
+func (d *Decoder) faulty(s string, err error) error {
+	if len(s) > 120 {
+		s = s[:120] + "..."
+	}
+	return fmt.Errorf("line %d: %w: %q", d.line, err, s)
+}
+
+func (d *Decoder) event(frame *Frame, s string) error {
+	f := d.fields(s)
+	name := f.word()
+	if name == "SHEET" {
+		return d.list(f)
+	}
+	out := Delivery{Line: d.line, Instance: f.whole()}
+	switch name {
+	case "CONFIGURE":
+		seed, err := strconv.ParseUint(f.word(), 10, 64)
+		if err != nil {
+			return errors.New("the seed is no whole number")
+		}
+		terms, err := parseTerms(seed, f.rest())
+		if err != nil {
+			return err
+		}
+		out.Start = &terms
+	case "KILLED":
+		out.Stop = true
+	case "UPDATE":
+		e := placer.ListCame{Mode: oneOf(f, listModes), Version: int64(f.whole())}
+		ref := f.word()
+		if e.Mode != placer.ListFailed {
+			n, err := strconv.Atoi(ref)
+			if err != nil || n < 0 || n >= len(d.lists) || !d.known[n] {
+				return fmt.Errorf("no list has the number %q", ref)
+			}
+			e.Entries = d.lists[n]
+		}
+		out.Event = e
+	case "PENDING":
+		a := placer.Ask{ID: placer.ContainerID(f.word())}
+		a.Customer, a.Again = f.wholeOr0(), f.wholeOr0()&16 != 0
+		a.Key, a.Workload = f.word(), f.whole()
+		a.Memory, a.Cores, a.Due = f.numberOr0(), f.numberOr0(), f.time()
+		a.Service, a.Life = f.word(), f.timeOr0()
+		out.Event = placer.Asked{Ask: a}
+	case "ALREADY_PLACED":
+		a := placer.Ask{ID: placer.ContainerID(f.word()), Service: f.word(), Due: f.timeOr0()}
+		a.Workload, a.Cores, a.Key, a.Customer = f.whole(), f.numberOr0(), f.word(), f.wholeOr0()
+		a.Memory, a.Again, a.Life = f.numberOr0(), f.wholeOr0()&16 != 0, f.timeOr0()
+		out.Event = placer.TookOver{Ask: a, Machine: placer.MachineID(f.word())}
+	case "CONFIRMED":
+		out.Event = placer.Placed{ID: placer.ContainerID(f.word()), Bid: f.whole(),
+			Machine: placer.MachineID(f.word()), Took: f.timeOr0()}
+	case "INTERIM":
+		out.Event = placer.Noted{ID: placer.ContainerID(f.word()), Machine: placer.MachineID(f.word()),
+			Bid: f.whole(), Sort: placer.NoteSort(f.whole()), Amount: f.number()}
+	case "DONE":
+		e := placer.Ended{ID: placer.ContainerID(f.word()), Over: f.flag(), Bid: f.whole(),
+			Outcome: oneOf(f, outcomes), Machine: placer.MachineID(f.word())}
+		e.Reason, e.Took, e.Report = placer.Reason(f.wholeOr0()), f.timeOr0(), f.report()
+		out.Event = e
+	case "HEALTH_RESULT":
+		out.Event = placer.Probed{Machine: placer.MachineID(f.word()), Outcome: oneOf(f, outcomes),
+			Took: f.timeOr0(), Report: f.report()}
+	case "TICK_DUE":
+		out.Event = placer.Woke{Name: f.word()}
+	case "NOTE_FROM":
+		e := placer.Heard{From: f.whole()}
+		if w := f.word(); w != "-" {
+			data, err := hex.DecodeString(w)
+			if err != nil {
+				return fmt.Errorf("%q is no hex", w)
+			}
+			e.Data = data
+		}
+		out.Event = e
+	case "VANISHED":
+		out.Event = placer.Vanished{ID: placer.ContainerID(f.word())}
+	default:
+		return errors.New("unknown message")
+	}
+	frame.Deliveries = append(frame.Deliveries, out)
+	return f.done()
+}
+
+func (d *Decoder) list(f *fields) error {
+	ref, n := f.whole(), f.whole()
+	if err := f.done(); err != nil {
+		return err
+	}
+	if ref < 0 || ref >= len(d.lists) || n < 0 {
+		return errors.New("list number or count out of range")
+	}
+	var entries []placer.Entry
+	for i := 0; i < n; i++ {
+		s, err := d.next()
+		if err == io.EOF {
+			return errors.New("input ends inside a list")
+		}
+		if err != nil {
+			return err
+		}
+		f := d.fields(s)
+		if f.word() != "ITEM" {
+			return fmt.Errorf("list of %d entries breaks off after %d", n, i)
+		}
+		e := placer.Entry{Machine: placer.MachineID(f.word()), Zone: f.whole(), Kind: f.whole(),
+			Cell: f.whole(), State: oneOf(f, states), FreeCores: f.numberOr0(), PowerHint: f.numberOr0(),
+			FreeMemory: f.numberOr0(), StartedAt: f.timeOr0()}
+		if err := f.done(); err != nil {
+			return err
+		}
+		entries = append(entries, e)
+	}
+	d.lists[ref], d.known[ref] = entries, true
+	return nil
+}
+
+var listModes = map[string]placer.ListMode{"Partial": placer.Changes, "Complete": placer.WholeList,
+	"Persisted": placer.OldList, "Error": placer.ListFailed}
+
+var states = map[string]placer.MachineState{"SERVING": placer.Serving, "DRAINING": placer.Draining,
+	"DELETED": placer.Gone}
+
+var outcomes = map[string]placer.Outcome{"GOOD": placer.Finished, "BAD": placer.Erred, "FULL": placer.Full,
+	"LATE": placer.TimedOut, "NOCONN": placer.NoConnect, "RST": placer.Reset, "CXL": placer.Stopped,
+	"NOP": placer.NotSent}
+
+// fields takes a line apart and keeps the first fault met.
+type fields struct {
+	words []string
+	fault error
+}
+
+func (d *Decoder) fields(s string) *fields { return &fields{words: strings.Split(s, " ")} }
+
+func (f *fields) fail(format string, a ...any) {
+	if f.fault == nil {
+		f.fault = fmt.Errorf(format, a...)
+	}
+}
+
+func (f *fields) word() string {
+	if len(f.words) == 0 {
+		f.fail("a field is missing")
+		return ""
+	}
+	w := f.words[0]
+	if f.words = f.words[1:]; w == "" {
+		f.fail("a field is empty")
+	}
+	return w
+}
+
+func (f *fields) rest() []string {
+	w := f.words
+	f.words = nil
+	return w
+}
+
+func (f *fields) done() error {
+	if len(f.words) > 0 {
+		f.fail("%d fields too many", len(f.words))
+	}
+	return f.fault
+}
+
+func (f *fields) parse(w string) float64 {
+	v, err := parseNumber(w)
+	if err != nil && f.fault == nil {
+		f.fault = err
+	}
+	return v
+}
+
+func (f *fields) number() float64 { return f.parse(f.word()) }
+
+func (f *fields) numberOr0() float64 {
+	if w := f.word(); w != "-" {
+		return f.parse(w)
+	}
+	return 0
+}
+
+func (f *fields) time() placer.Time    { return tenths(f.number()) }
+func (f *fields) timeOr0() placer.Time { return tenths(f.numberOr0()) }
+
+func (f *fields) parseWhole(w string) int {
+	n, err := strconv.Atoi(w)
+	if err != nil {
+		f.fail("%q is no whole number", w)
+	}
+	return n
+}
+
+func (f *fields) whole() int { return f.parseWhole(f.word()) }
+
+func (f *fields) wholeOr0() int {
+	if w := f.word(); w != "-" {
+		return f.parseWhole(w)
+	}
+	return 0
+}
+
+func (f *fields) flag() bool {
+	switch w := f.word(); w {
+	case "1":
+		return true
+	case "0":
+	default:
+		f.fail("%q is neither 1 nor 0", w)
+	}
+	return false
+}
+
+func (f *fields) report() placer.Report {
+	w := f.word()
+	if w == "-" || w == "" {
+		return nil
+	}
+	r := placer.Report{}
+	for _, p := range strings.Split(w, ",") {
+		k, v, ok := strings.Cut(p, ":")
+		if !ok {
+			f.fail("report %q has no value", p)
+			return nil
+		}
+		if v != "-" {
+			r[k] = f.parse(v)
+		}
+	}
+	return r
+}
+
+func oneOf[T any](f *fields, words map[string]T) T {
+	w := f.word()
+	v, ok := words[w]
+	if !ok {
+		f.fail("%q is not known here", w)
+	}
+	return v
+}
+
+func ms(t placer.Time) string { return strconv.FormatFloat(float64(t)/10, 'f', 1, 64) }
+
+// Append writes one action of an instance as a line.
+func Append(b *bytes.Buffer, instance int, a placer.Action) {
+	switch a := a.(type) {
+	case placer.Bid:
+		fmt.Fprintf(b, "BIND %d %s %s %s\n", instance, a.ID, a.Machine, ms(a.MaxWait))
+	case placer.PushBack:
+		fmt.Fprintf(b, "BUSY %d %s %s\n", instance, a.ID, ms(a.HoldOff))
+	case placer.GiveUp:
+		fmt.Fprintf(b, "FAIL %d %s\n", instance, a.ID)
+	case placer.Withdraw:
+		fmt.Fprintf(b, "UNDO_SEND %d %s %d\n", instance, a.ID, a.Bid)
+	case placer.Move:
+		fmt.Fprintf(b, "VACATE %d %s\n", instance, a.ID)
+	case placer.Probe:
+		fmt.Fprintf(b, "PING %d %s\n", instance, a.Machine)
+	case placer.Disconnect:
+		fmt.Fprintf(b, "CLOSE %d %s\n", instance, a.Machine)
+	case placer.Wake:
+		fmt.Fprintf(b, "AFTER %d %s %s\n", instance, ms(a.After), a.Name)
+	case placer.Tell:
+		data := "-"
+		if len(a.Data) > 0 {
+			data = hex.EncodeToString(a.Data)
+		}
+		fmt.Fprintf(b, "POST %d %d %s\n", instance, a.To, data)
+	case placer.Watch:
+		on := 0
+		if a.On {
+			on = 1
+		}
+		fmt.Fprintf(b, "WATCH %d %d\n", instance, on)
+	case placer.Fetch:
+		fmt.Fprintf(b, "FETCH %d\n", instance)
+	case placer.Log:
+		fmt.Fprintf(b, "DEBUG %d %s\n", instance, plain(a.Text))
+	}
+}
+
+// AppendFault writes the line by which an instance says that its decisions failed.
+func AppendFault(b *bytes.Buffer, instance int, what string) {
+	fmt.Fprintf(b, "FAULT %d %s\n", instance, plain(what))
+}
+
+func plain(s string) string { return strings.Join(strings.Fields(s), " ") }
--- /dev/null
+++ b/placer/api.go
@@ -0,0 +1,295 @@
+// Package placer decides on which machine each container of a service is started.
+package placer
+
+// Time is a clock reading or a span, in tenths of a millisecond.
+type Time int64
+
+const (
+	Millisecond Time = 10
+	Second      Time = 10_000
+)
+
+// Effect says what a second run of a container would do.
+type Effect uint8
+
+const (
+	Reissuable Effect = iota // may run again
+	Numbered                 // repeats are dropped inside a group of machines, for a while
+	AtMostOnce               // must never run twice
+)
+
+// Place is an extent of the fleet: where repeats are dropped, or what a spread counts.
+type Place uint8
+
+const (
+	Nowhere Place = iota
+	OneMachine
+	OneCell
+	OneZone
+	Everywhere
+)
+
+// Workload holds the terms of one sort of container.
+type Workload struct {
+	Effect   Effect
+	Repeats  Place // numbered: the group that drops repeats
+	Window   Time  // numbered: for how long it does
+	Agreed   Time  // a start within it earns in full
+	HardStop Time
+	Kind     int // the machine kind it needs, -1 for any
+	Spread   Place
+	Most     int // containers of a service in one such place
+	Gain     float64
+	Priority int
+}
+
+// Kind is a sort of machine.
+type Kind struct{ Cores, Memory float64 }
+
+// Customer has a share of the fleet.
+type Customer struct{ PerSecond, Cores float64 }
+
+// Terms are what a placer is told when it starts.
+type Terms struct {
+	Seed         uint64
+	Placers      int
+	Workloads    []Workload
+	Kinds        []Kind
+	Customers    []Customer
+	OverShare    float64 // worth of what a customer asks beyond its share
+	AcceptCores  float64 // a machine accepts asks up to this multiple of its cores
+	AcceptMemory float64
+	MeanCores    float64
+	MeanMemory   float64
+	YesRuns      bool // a machine says yes only once the container runs
+	UseNotes     bool // use of own containers is told
+	ListedAsks   bool // list entries tell the room that nobody has asked for
+	MayProbe     bool
+	MayWithdraw  bool
+	MostBids     int
+	ListOnAsk    bool // the list must be watched
+	AskWithin    Time
+	ColdFor      Time // a machine that came up is warm after this
+	ColdFrom     float64
+	ColdWindow   Time
+	ColdBids     int // bids in a window that a cold machine always bears, from all placers
+}
+
+// MachineID and ContainerID name things at the door only.
+type (
+	MachineID   string
+	ContainerID string
+)
+
+// Entry is what the list says of one machine.
+type Entry struct {
+	Machine    MachineID
+	Zone       int
+	Kind       int
+	Cell       int
+	State      MachineState
+	FreeCores  float64
+	FreeMemory float64
+	PowerHint  float64
+	StartedAt  Time // 0: long ago
+}
+
+type MachineState uint8
+
+const (
+	Serving MachineState = iota
+	Draining
+	Gone
+)
+
+type ListMode uint8
+
+const (
+	Changes ListMode = iota
+	WholeList
+	OldList // the list as last held before a restart
+	ListFailed
+)
+
+// Event is something that happened to a placer.
+type Event interface{ event() }
+
+// ListCame is news of the machines.
+type ListCame struct {
+	Mode    ListMode
+	Version int64
+	Entries []Entry
+}
+
+// Ask describes a container.
+type Ask struct {
+	ID       ContainerID
+	Key      string // the same each time the container comes
+	Service  string
+	Workload int
+	Customer int
+	Cores    float64
+	Memory   float64
+	Due      Time // its hard stop on the clock
+	Life     Time // what it will still run, 0: not told
+	Again    bool // it came before
+}
+
+// Asked is a container to be placed; TookOver is one that runs already.
+type (
+	Asked    struct{ Ask }
+	TookOver struct {
+		Ask
+		Machine MachineID
+	}
+)
+
+// Placed is a machine's yes.
+type Placed struct {
+	ID      ContainerID
+	Bid     int
+	Machine MachineID
+	Took    Time
+}
+
+type NoteSort uint8
+
+const (
+	Running NoteSort = 1 + iota
+	CoresUsed
+	MemoryUsed
+	ServedShare
+	MachineMemory
+)
+
+// Noted is news of a container that has no outcome yet.
+type Noted struct {
+	ID      ContainerID
+	Machine MachineID
+	Bid     int
+	Sort    NoteSort
+	Amount  float64
+}
+
+type Outcome uint8
+
+const (
+	Finished  Outcome = iota
+	Erred             // may have started
+	Full              // never ran
+	TimedOut          // may have started, or may yet
+	NoConnect         // never ran
+	Reset             // lost, or cut short
+	Stopped           // withdrawn or moved
+	NotSent           // never ran
+)
+
+type Reason uint8
+
+const (
+	NoReason Reason = iota
+	NoCores
+	NoMemory
+	LongQueue
+	NotHere
+	Evicted
+	PushedOut
+	SentAway
+)
+
+// Report is a machine's word on its load, by the names it uses.
+type Report map[string]float64
+
+// Ended is the one outcome of a bid.
+type Ended struct {
+	ID      ContainerID
+	Over    bool // nothing more is owed
+	Bid     int
+	Outcome Outcome
+	Machine MachineID
+	Reason  Reason
+	Took    Time
+	Report  Report
+}
+
+// Probed answers a Probe.
+type Probed struct {
+	Machine MachineID
+	Outcome Outcome // Finished when all is well
+	Took    Time
+	Report  Report
+}
+
+// Woke is a timer; Heard a message of another placer; Vanished ends a container from outside.
+type (
+	Woke  struct{ Name string }
+	Heard struct {
+		From int
+		Data []byte
+	}
+	Vanished struct{ ID ContainerID }
+)
+
+func (ListCame) event() {}
+func (Asked) event()    {}
+func (TookOver) event() {}
+func (Placed) event()   {}
+func (Noted) event()    {}
+func (Ended) event()    {}
+func (Probed) event()   {}
+func (Woke) event()     {}
+func (Heard) event()    {}
+func (Vanished) event() {}
+
+// Action is something a placer wants done.
+type Action interface{ action() }
+
+type (
+	// Bid offers a container to a machine; MaxWait 0 waits until the hard stop.
+	Bid struct {
+		ID      ContainerID
+		Machine MachineID
+		MaxWait Time
+	}
+	// PushBack tells the owner that asking again does no harm; GiveUp promises nothing.
+	PushBack struct {
+		ID      ContainerID
+		HoldOff Time
+	}
+	GiveUp struct{ ID ContainerID }
+	// Withdraw stops waiting on a bid.
+	Withdraw struct {
+		ID  ContainerID
+		Bid int
+	}
+	// Move stops a running container, to be placed anew.
+	Move  struct{ ID ContainerID }
+	Probe struct{ Machine MachineID }
+	// Disconnect closes idle connections.
+	Disconnect struct{ Machine MachineID }
+	Wake       struct {
+		After Time
+		Name  string
+	}
+	// Tell sends bytes to a placer, or to all with To -1.
+	Tell struct {
+		To   int
+		Data []byte
+	}
+	Watch struct{ On bool }
+	Fetch struct{}
+	Log   struct{ Text string }
+)
+
+func (Bid) action()        {}
+func (PushBack) action()   {}
+func (GiveUp) action()     {}
+func (Withdraw) action()   {}
+func (Move) action()       {}
+func (Probe) action()      {}
+func (Disconnect) action() {}
+func (Wake) action()       {}
+func (Tell) action()       {}
+func (Watch) action()      {}
+func (Fetch) action()      {}
+func (Log) action()        {}
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,551 @@
+// This file holds every decision of a placer, its state and its tuned values. The host calls New once at
+// start and Handle for each batch of events; what Handle returns is to be done in that order. The types that
+// pass in and out stand in api.go. docs/design.md tells what the Max-Cap draw keeps of its source.
+
+package placer
+
+import (
+	"fmt"
+	"math"
+	"sort"
+)
+
+// Tuned values. Each is a matter of the trade, not of one deployment.
+const (
+	weightFloor = 0.02 // of a contract: the least weight of a machine that is drawn from
+
+	sickOdds    = 0.6  // the test's two views of a machine: a sick one fails so many of its bids,
+	wellOdds    = 0.05 // a well one so many
+	sickAt      = 4.6  // log odds at which it is taken out
+	restAtFirst = 2 * Second
+	restAtMost  = 8 * Second
+	mostOut     = 0.5 // of all contracts: with more looking sick, the fault is not the machines'
+
+	sweepEvery = Second / 4
+	askAgain   = Second // after a failed list call; doubled up to askAtMost
+	askAtMost  = 4 * Second
+	edge       = 2 * Millisecond // kept from every time that a rule names
+)
+
+// Placer is one instance. Machines are dropped once gone and empty, services and containers with
+// their last bid.
+type Placer struct {
+	terms      Terms
+	rng        pcg
+	now, began Time
+	out        []Action
+	machines   map[MachineID]*machine
+	order      []*machine // by id, so that equal events are decided alike
+	services   map[string]*service
+	containers map[ContainerID]*container
+	starts     []startTimes // by workload
+	trustAll   bool         // too many look sick: the test is not heeded
+	watchAt    Time         // when the list is to be asked for again; 0: not due
+	watchPause Time
+}
+
+type machine struct {
+	id        MachineID
+	listed    bool // zone, kind and cell are known
+	zone      int
+	cell      int
+	kind      int
+	state     MachineState
+	started   Time
+	contract  float64
+	held      int // bids and containers without an outcome
+	asked     room
+	used      room   // by own containers, as far as told
+	listAsks  room   // by everybody, as the list has it
+	coldBids  []Time // emptied as they leave the window
+	sick      float64
+	restUntil Time // out of the draw; 0: in
+	rest      Time
+	probing   bool
+}
+
+type room struct{ cores, memory float64 }
+
+type service struct {
+	name       string
+	containers int
+	held       map[*machine]int
+}
+
+type container struct {
+	ask      Ask
+	workload *Workload
+	service  *service
+	bids     int
+	at       *machine // of the bid that is out, or where it runs
+	sentAt   Time
+	placed   bool
+	closed   bool     // answered or withdrawn: only an outcome is awaited
+	ranAt    *machine // of the first bid that may have run
+	ranSince Time
+	left     []*machine // out of this container's draw
+	used     room
+}
+
+// startTimes follows how long a yes takes: mean and mean deviation.
+type startTimes struct{ mean, dev float64 }
+
+func New(t Terms) *Placer {
+	return &Placer{terms: t, rng: pcg{t.Seed}, machines: map[MachineID]*machine{},
+		services: map[string]*service{}, containers: map[ContainerID]*container{},
+		starts: make([]startTimes, len(t.Workloads)), began: -1}
+}
+
+// Handle takes what happened by now and returns what is to be done.
+func (p *Placer) Handle(now Time, events []Event) []Action {
+	p.now, p.out = now, nil
+	if p.began < 0 {
+		p.began = now
+		p.do(Wake{sweepEvery, "sweep"})
+		if p.terms.ListOnAsk {
+			p.do(Watch{true})
+		}
+	}
+	for _, e := range events {
+		switch e := e.(type) {
+		case ListCame:
+			p.learn(e)
+		case Asked:
+			c := p.take(e.Ask)
+			p.place(c)
+		case TookOver:
+			c := p.take(e.Ask)
+			c.bids, c.placed = 1, true
+			p.hold(c, p.machine(e.Machine))
+		case Placed:
+			p.confirm(e)
+		case Noted:
+			p.note(e)
+		case Ended:
+			p.end(e)
+		case Vanished:
+			if c := p.containers[e.ID]; c != nil {
+				c.closed = true
+				p.forget(c)
+			}
+		case Probed:
+			p.probed(e)
+		case Woke:
+			p.sweep()
+		}
+	}
+	return p.out
+}
+
+func (p *Placer) do(a Action) { p.out = append(p.out, a) }
+
+func (p *Placer) log(format string, a ...any) { p.do(Log{fmt.Sprintf(format, a...)}) }
+
+// machine finds a machine by its id, or notes one that no list has named yet.
+func (p *Placer) machine(id MachineID) *machine {
+	m := p.machines[id]
+	if m == nil {
+		m = &machine{id: id, state: Gone, rest: restAtFirst}
+		p.machines[id] = m
+		i := sort.Search(len(p.order), func(i int) bool { return p.order[i].id >= id })
+		p.order = append(p.order, nil)
+		copy(p.order[i+1:], p.order[i:])
+		p.order[i] = m
+	}
+	return m
+}
+
+// learn applies a list. A failed call leaves the old list in force and is repeated, since the notice does
+// not say whether the watch stands.
+func (p *Placer) learn(e ListCame) {
+	if e.Mode == ListFailed {
+		p.watchPause = min(max(2*p.watchPause, askAgain), askAtMost, p.terms.AskWithin/2)
+		p.watchAt = p.now + p.watchPause
+		return
+	}
+	if e.Mode != OldList {
+		p.watchAt, p.watchPause = 0, 0
+	}
+	if e.Mode != Changes {
+		for _, m := range p.order {
+			m.state = Gone
+		}
+	}
+	for _, l := range e.Entries {
+		m := p.machine(l.Machine)
+		if m.started != l.StartedAt || !m.listed {
+			m.started, m.sick, m.restUntil, m.rest = l.StartedAt, 0, 0, restAtFirst
+		}
+		m.listed, m.zone, m.cell, m.kind, m.state = true, l.Zone, l.Cell, l.Kind, l.State
+		k := p.terms.Kinds[l.Kind]
+		m.contract = min(k.Cores*p.terms.AcceptCores/p.terms.MeanCores,
+			k.Memory*p.terms.AcceptMemory/p.terms.MeanMemory)
+		m.listAsks = room{k.Cores - l.FreeCores, k.Memory - l.FreeMemory}
+	}
+	for i := len(p.order) - 1; i >= 0; i-- {
+		if m := p.order[i]; m.state == Gone && m.held == 0 {
+			delete(p.machines, m.id)
+			p.order = append(p.order[:i], p.order[i+1:]...)
+		}
+	}
+	p.weighTrust()
+}
+
+// take notes a container and its service.
+func (p *Placer) take(a Ask) *container {
+	s := p.services[a.Service]
+	if s == nil {
+		s = &service{name: a.Service, held: map[*machine]int{}}
+		p.services[a.Service] = s
+	}
+	c := &container{ask: a, workload: &p.terms.Workloads[a.Workload], service: s}
+	s.containers++
+	p.containers[a.ID] = c
+	return c
+}
+
+// hold counts a bid or a running container where it is; release takes it off again.
+func (p *Placer) hold(c *container, m *machine) {
+	c.at, c.sentAt, c.used = m, p.now, room{c.ask.Cores, c.ask.Memory}
+	c.service.held[m]++
+	m.held++
+	m.asked.add(c.used, 1)
+	m.used.add(c.used, 1)
+}
+
+func (p *Placer) release(c *container) {
+	m := c.at
+	if c.service.held[m]--; c.service.held[m] == 0 {
+		delete(c.service.held, m)
+	}
+	m.held--
+	m.asked.add(room{c.ask.Cores, c.ask.Memory}, -1)
+	m.used.add(c.used, -1)
+	if m.held == 0 {
+		m.asked, m.used = room{}, room{}
+	}
+	c.at = nil
+}
+
+func (r *room) add(o room, sign float64) {
+	r.cores += sign * o.cores
+	r.memory += sign * o.memory
+}
+
+// forget drops a container that is closed and has no bid out.
+func (p *Placer) forget(c *container) {
+	if !c.closed || c.at != nil {
+		return
+	}
+	delete(p.containers, c.ask.ID)
+	if c.service.containers--; c.service.containers == 0 {
+		delete(p.services, c.service.name)
+	}
+}
+
+// place draws a machine for a container and bids, or answers its owner at once.
+func (p *Placer) place(c *container) {
+	var m *machine
+	if c.bids < p.terms.MostBids && p.now+edge < c.ask.Due {
+		m = p.draw(c)
+	}
+	if m == nil {
+		p.answer(c)
+		return
+	}
+	if p.isCold(m) {
+		m.coldBids = append(m.coldBids, p.now)
+	}
+	c.bids++
+	p.hold(c, m)
+	p.do(Bid{c.ask.ID, m.id, p.patience(c)})
+}
+
+// answer ends a container: a pushback where a repeat does no harm, else a give-up.
+func (p *Placer) answer(c *container) {
+	w := c.workload
+	if c.ranAt == nil || w.Effect == Reissuable || w.Effect == Numbered && w.Repeats == Everywhere {
+		p.do(PushBack{ID: c.ask.ID})
+	} else {
+		p.do(GiveUp{c.ask.ID})
+	}
+	c.closed = true
+	p.forget(c)
+}
+
+// draw picks a machine at random among those that pass the filters, by honored capacity.
+func (p *Placer) draw(c *container) *machine {
+	var sum float64
+	var from []*machine
+	for _, m := range p.order {
+		if p.mayBid(c, m) {
+			from = append(from, m)
+			sum += p.honored(m)
+		}
+	}
+	at := p.rng.float() * sum
+	for _, m := range from {
+		if at -= p.honored(m); at < 0 {
+			return m
+		}
+	}
+	if len(from) > 0 {
+		return from[len(from)-1]
+	}
+	return nil
+}
+
+// honored is the contract less the extraneous load: what own containers are told to use beyond what the
+// machine was asked for, the others' taken to use their asks in the same measure as ours.
+func (p *Placer) honored(m *machine) float64 {
+	load := 0.0
+	if t := &p.terms; t.UseNotes && t.ListedAsks {
+		cores := max(m.listAsks.cores, m.asked.cores)
+		memory := max(m.listAsks.memory, m.asked.memory)
+		load = max(0, (m.used.cores-cores)/t.MeanCores, (m.used.memory-memory)/t.MeanMemory)
+	}
+	return max(m.contract-load, weightFloor*m.contract)
+}
+
+// mayBid holds the filters that come before the draw.
+func (p *Placer) mayBid(c *container, m *machine) bool {
+	w, t := c.workload, &p.terms
+	if m.state != Serving || w.Kind >= 0 && w.Kind != m.kind {
+		return false
+	}
+	if k := t.Kinds[m.kind]; c.ask.Cores > k.Cores*t.AcceptCores || c.ask.Memory > k.Memory*t.AcceptMemory {
+		return false
+	}
+	for _, l := range c.left {
+		if l == m {
+			return false
+		}
+	}
+	if m.restUntil > 0 && !p.trustAll {
+		return false
+	}
+	if c.ranAt != nil {
+		switch w.Effect {
+		case AtMostOnce:
+			return false
+		case Numbered:
+			if !c.ranAt.shares(m, w.Repeats) || p.now+edge >= c.ranSince+w.Window {
+				return false
+			}
+		}
+	}
+	return p.spreadHolds(c, m) && p.coldBears(m)
+}
+
+// shares tells whether two machines lie in one place; a machine that no list has named lies nowhere known.
+func (m *machine) shares(o *machine, place Place) bool {
+	switch place {
+	case Everywhere:
+		return true
+	case OneZone:
+		return m.listed && o.listed && m.zone == o.zone
+	case OneCell:
+		return m.listed && o.listed && m.cell == o.cell
+	}
+	return m == o
+}
+
+// spreadHolds counts what the service has in the machine's place; what lies nowhere known counts everywhere.
+func (p *Placer) spreadHolds(c *container, m *machine) bool {
+	w := c.workload
+	if w.Spread == Nowhere {
+		return true
+	}
+	n := 1
+	for o, held := range c.service.held {
+		if m.shares(o, w.Spread) || !o.listed && w.Spread != OneMachine {
+			n += held
+		}
+	}
+	return n <= w.Most
+}
+
+func (p *Placer) isCold(m *machine) bool {
+	return m.started > 0 && p.now < m.started+p.terms.ColdFor
+}
+
+// coldBears keeps to this placer's part of what a cold machine bears from all of them. For a window after
+// its own start a placer does not know what it sent in an earlier life, and sends nothing.
+func (p *Placer) coldBears(m *machine) bool {
+	if !p.isCold(m) {
+		m.coldBids = nil
+		return true
+	}
+	window := p.terms.ColdWindow + p.terms.ColdWindow/8
+	for len(m.coldBids) > 0 && m.coldBids[0] <= p.now-window {
+		m.coldBids = m.coldBids[1:]
+	}
+	return p.now >= p.began+window && len(m.coldBids) < p.terms.ColdBids/max(1, p.terms.Placers)
+}
+
+// patience is a bid's time-out: long enough for nearly every start seen of that workload; to the end where
+// nothing could follow.
+func (p *Placer) patience(c *container) Time {
+	s, left := &p.starts[c.ask.Workload], c.ask.Due-p.now
+	if c.workload.Effect == AtMostOnce || c.bids >= p.terms.MostBids {
+		return left
+	}
+	if s.mean == 0 {
+		return min(left, max(c.workload.Agreed, c.workload.HardStop/2))
+	}
+	return min(left, max(c.workload.Agreed, Time(s.mean+4*s.dev)))
+}
+
+func (p *Placer) confirm(e Placed) {
+	c := p.containers[e.ID]
+	if c == nil || c.at == nil {
+		return
+	}
+	c.placed = true
+	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
+	if s.mean == 0 {
+		s.mean, s.dev = took, took/2
+	} else {
+		s.dev += (math.Abs(took-s.mean) - s.dev) / 16
+		s.mean += (took - s.mean) / 16
+	}
+	p.judge(c.at, false)
+}
+
+func (p *Placer) note(e Noted) {
+	c := p.containers[e.ID]
+	if c == nil || c.at == nil {
+		return
+	}
+	c.at.used.add(c.used, -1)
+	switch e.Sort {
+	case CoresUsed:
+		c.used.cores = e.Amount
+	case MemoryUsed:
+		c.used.memory = e.Amount
+	}
+	c.at.used.add(c.used, 1)
+}
+
+// end takes in the one outcome of a bid and goes on with its container.
+func (p *Placer) end(e Ended) {
+	c := p.containers[e.ID]
+	if c == nil || c.at == nil {
+		return
+	}
+	m, placed := c.at, c.placed
+	p.release(c)
+	switch e.Outcome {
+	case Full:
+		if e.Reason < Evicted {
+			p.judge(m, false)
+		}
+	case NoConnect:
+		p.judge(m, true)
+	case Erred, TimedOut, Reset:
+		if !placed || e.Outcome == Reset && e.Reason == NoReason {
+			p.judge(m, true)
+		}
+		fallthrough
+	case Stopped, Finished:
+		if c.ranAt == nil {
+			c.ranAt, c.ranSince = m, c.sentAt
+		}
+	}
+	c.left = append(c.left, m)
+	if e.Over || placed || c.closed {
+		c.closed = true
+		p.forget(c)
+		return
+	}
+	p.place(c)
+}
+
+// judge is the sequential test on a machine's outcomes: each moves the log odds of its being sick, never
+// below even, and past sickAt it leaves the draw. A refusal is an answer and speaks for the machine.
+func (p *Placer) judge(m *machine, failed bool) {
+	if !failed {
+		m.sick = max(0, m.sick+math.Log((1-sickOdds)/(1-wellOdds)))
+		if m.sick == 0 {
+			m.rest = restAtFirst
+		}
+		return
+	}
+	m.sick = min(2*sickAt, m.sick+math.Log(sickOdds/wellOdds))
+	if m.sick >= sickAt && m.restUntil == 0 {
+		m.restUntil = p.now + m.rest
+		m.rest = min(2*m.rest, restAtMost)
+		p.log("machine %s out: log odds %.1f", m.id, m.sick)
+		p.weighTrust()
+	}
+}
+
+// weighTrust stops heeding the test when most of the fleet looks sick: then the fault is this placer's own
+// link or list, and an empty draw would help nobody.
+func (p *Placer) weighTrust() {
+	var all, out float64
+	for _, m := range p.order {
+		if m.state == Serving {
+			if all += m.contract; m.restUntil > 0 {
+				out += m.contract
+			}
+		}
+	}
+	if trust := out > mostOut*all; trust != p.trustAll {
+		p.trustAll = trust
+		p.log("trust all %t: out %.0f of %.0f", trust, out, all)
+	}
+}
+
+// probed lets a machine that answers come back on trial: one more failure takes it out.
+func (p *Placer) probed(e Probed) {
+	m := p.machines[e.Machine]
+	if m == nil {
+		return
+	}
+	m.probing = false
+	if m.restUntil == 0 {
+		return
+	}
+	if e.Outcome == Finished {
+		p.readmit(m)
+	} else {
+		m.restUntil = p.now + restAtFirst/2
+	}
+}
+
+func (p *Placer) readmit(m *machine) {
+	m.restUntil, m.sick = 0, sickAt-1
+	p.log("machine %s back on trial", m.id)
+	p.weighTrust()
+}
+
+// sweep is the timer's work: the list that must be asked for, and machines whose rest is over.
+func (p *Placer) sweep() {
+	p.do(Wake{sweepEvery, "sweep"})
+	if p.watchAt > 0 && p.now >= p.watchAt {
+		p.watchAt = 0
+		p.do(Watch{true})
+	}
+	for _, m := range p.order {
+		if m.restUntil == 0 || p.now < m.restUntil || m.state != Serving || m.probing {
+			continue
+		}
+		if p.terms.MayProbe && p.coldBears(m) {
+			m.probing = true
+			p.do(Probe{m.id})
+		} else if !p.terms.MayProbe {
+			p.readmit(m)
+		}
+	}
+}
+
+// pcg is a permuted congruential generator of 64 bits of state (RXS M XS).
+type pcg struct{ state uint64 }
+
+func (g *pcg) float() float64 {
+	x := g.state
+	g.state = x*6364136223846793005 + 1442695040888963407
+	x = ((x >> ((x >> 59) + 5)) ^ x) * 12605985483714917081
+	return float64((x>>43^x)>>11) / (1 << 53)
+}
