--- a/placer/placer.go
+++ b/placer/placer.go
@@ -390,10 +390,7 @@
 	if c.workload.Effect == AtMostOnce || c.bids >= p.terms.MostBids {
 		return left
 	}
-	if s.mean == 0 {
-		return min(left, max(c.workload.Agreed, c.workload.HardStop/2))
-	}
-	return min(left, max(c.workload.Agreed, Time(s.mean+4*s.dev)))
+	return min(left, max(c.workload.HardStop/2, Time(s.mean+4*s.dev)))
 }
 
 func (p *Placer) confirm(e Placed) {
