--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,7 +22,8 @@
 	mostOut     = 0.5 // of all contracts: with more looking sick, the fault is not the machines'
 
 	sweepEvery = Second / 4
-	askAgain   = Second // after a failed list call; doubled up to askAtMost
+	overdueAt  = Second / 2 // a bid so old on a machine not heard of since calls for a probe
+	askAgain   = Second     // after a failed list call; doubled up to askAtMost
 	askAtMost  = 4 * Second
 	edge       = 2 * Millisecond // kept from every time that a rule names
 )
@@ -62,6 +63,7 @@
 	restUntil Time // out of the draw; 0: in
 	rest      Time
 	probing   bool
+	heardAt   Time // last sign of life
 }
 
 type room struct{ cores, memory float64 }
@@ -398,7 +400,7 @@
 	if c == nil || c.at == nil {
 		return
 	}
-	c.placed = true
+	c.placed, c.at.heardAt = true, p.now
 	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
 	if s.mean == 0 {
 		s.mean, s.dev = took, took/2
@@ -414,6 +416,7 @@
 	if c == nil || c.at == nil {
 		return
 	}
+	c.at.heardAt = p.now
 	c.at.used.add(c.used, -1)
 	switch e.Sort {
 	case CoresUsed:
@@ -431,23 +434,23 @@
 		return
 	}
 	m, placed := c.at, c.placed
+	silent := m.heardAt < c.sentAt
 	p.release(c)
 	switch e.Outcome {
 	case Full:
-		if e.Reason < Evicted {
-			p.judge(m, false)
-		}
+		m.heardAt = p.now
+		p.judge(m, false)
 	case NoConnect:
 		p.judge(m, true)
 	case Erred, TimedOut, Reset:
-		if !placed || e.Outcome == Reset && e.Reason == NoReason {
+		if silent && !placed || e.Outcome == Reset && e.Reason == NoReason {
 			p.judge(m, true)
 		}
-		fallthrough
-	case Stopped, Finished:
-		if c.ranAt == nil {
-			c.ranAt, c.ranSince = m, c.sentAt
-		}
+	case Finished:
+		m.heardAt = p.now
+	}
+	if e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NotSent && c.ranAt == nil {
+		c.ranAt, c.ranSince = m, c.sentAt
 	}
 	c.left = append(c.left, m)
 	if e.Over || placed || c.closed {
@@ -501,13 +504,16 @@
 		return
 	}
 	m.probing = false
-	if m.restUntil == 0 {
-		return
-	}
-	if e.Outcome == Finished {
-		p.readmit(m)
-	} else {
+	switch {
+	case e.Outcome == Finished:
+		m.heardAt = p.now
+		if m.restUntil > 0 {
+			p.readmit(m)
+		}
+	case m.restUntil > 0:
 		m.restUntil = p.now + restAtFirst/2
+	default:
+		p.judge(m, true)
 	}
 }
 
@@ -524,14 +530,21 @@
 		p.watchAt = 0
 		p.do(Watch{true})
 	}
+	overdue := map[*machine]bool{}
+	for _, c := range p.containers {
+		if m := c.at; m != nil && !c.placed && m.heardAt < c.sentAt && p.now-c.sentAt > overdueAt {
+			overdue[m] = true
+		}
+	}
 	for _, m := range p.order {
-		if m.restUntil == 0 || p.now < m.restUntil || m.state != Serving || m.probing {
+		due := m.restUntil > 0 && p.now >= m.restUntil
+		if m.state != Serving || m.probing || !due && (m.restUntil > 0 || !overdue[m]) {
 			continue
 		}
 		if p.terms.MayProbe && p.coldBears(m) {
 			m.probing = true
 			p.do(Probe{m.id})
-		} else if !p.terms.MayProbe {
+		} else if due && !p.terms.MayProbe {
 			p.readmit(m)
 		}
 	}
