--- a/placer/placer.go
+++ b/placer/placer.go
@@ -12,6 +12,7 @@
 
 // Tuned values. Each is a matter of the trade, not of one deployment.
 const (
+	lots        = 3    // draws that the containers of a service share
 	weightFloor = 0.02 // of a contract: the least weight of a machine that is drawn from
 
 	sickOdds    = 0.6  // the test's two views of a machine: a sick one fails so many of its bids,
@@ -47,6 +48,7 @@
 
 type machine struct {
 	id        MachineID
+	hash      uint64
 	listed    bool // zone, kind and cell are known
 	zone      int
 	cell      int
@@ -70,6 +72,7 @@
 
 type service struct {
 	name       string
+	hash       uint64
 	containers int
 	held       map[*machine]int
 }
@@ -147,7 +150,7 @@
 func (p *Placer) machine(id MachineID) *machine {
 	m := p.machines[id]
 	if m == nil {
-		m = &machine{id: id, state: Gone, rest: restAtFirst}
+		m = &machine{id: id, hash: hash(string(id)), state: Gone, rest: restAtFirst}
 		p.machines[id] = m
 		i := sort.Search(len(p.order), func(i int) bool { return p.order[i].id >= id })
 		p.order = append(p.order, nil)
@@ -197,7 +200,7 @@
 func (p *Placer) take(a Ask) *container {
 	s := p.services[a.Service]
 	if s == nil {
-		s = &service{name: a.Service, held: map[*machine]int{}}
+		s = &service{name: a.Service, hash: hash(a.Service), held: map[*machine]int{}}
 		p.services[a.Service] = s
 	}
 	c := &container{ask: a, workload: &p.terms.Workloads[a.Workload], service: s}
@@ -275,26 +278,23 @@
 	p.forget(c)
 }
 
-// draw picks a machine at random among those that pass the filters, by honored capacity.
+// draw picks a machine at random among those that pass the filters, by honored capacity. The draw is
+// indexed: chance picks one of a service's few lots, and each lot, hashed from service and machine, falls on
+// a machine with odds proportional to its capacity. So the containers of a service meet again on few
+// machines, which hold their program, whichever placer sends them; no weight follows placement.
 func (p *Placer) draw(c *container) *machine {
-	var sum float64
-	var from []*machine
+	lot := c.service.hash + p.rng.next()%lots
+	var best *machine
+	least := math.Inf(1)
 	for _, m := range p.order {
 		if p.mayBid(c, m) {
-			from = append(from, m)
-			sum += p.honored(m)
-		}
-	}
-	at := p.rng.float() * sum
-	for _, m := range from {
-		if at -= p.honored(m); at < 0 {
-			return m
+			x := pcg{mix(lot) ^ m.hash}
+			if at := -math.Log(1-x.float()) / p.honored(m); at < least {
+				best, least = m, at
+			}
 		}
 	}
-	if len(from) > 0 {
-		return from[len(from)-1]
-	}
-	return nil
+	return best
 }
 
 // honored is the contract less the extraneous load: what own containers are told to use beyond what the
@@ -553,9 +553,24 @@
 // pcg is a permuted congruential generator of 64 bits of state (RXS M XS).
 type pcg struct{ state uint64 }
 
-func (g *pcg) float() float64 {
+func (g *pcg) next() uint64 {
 	x := g.state
 	g.state = x*6364136223846793005 + 1442695040888963407
+	return mix(x)
+}
+
+func (g *pcg) float() float64 { return float64(g.next()>>11) / (1 << 53) }
+
+func mix(x uint64) uint64 {
 	x = ((x >> ((x >> 59) + 5)) ^ x) * 12605985483714917081
-	return float64((x>>43^x)>>11) / (1 << 53)
+	return x>>43 ^ x
+}
+
+// hash is FNV-1a.
+func hash(s string) uint64 {
+	h := uint64(14695981039346656037)
+	for i := 0; i < len(s); i++ {
+		h = (h ^ uint64(s[i])) * 1099511628211
+	}
+	return h
 }
