--- a/placer/placer.go
+++ b/placer/placer.go
@@ -183,8 +183,7 @@
 		}
 		m.listed, m.zone, m.cell, m.kind, m.state = true, l.Zone, l.Cell, l.Kind, l.State
 		k := p.terms.Kinds[l.Kind]
-		m.contract = min(k.Cores*p.terms.AcceptCores/p.terms.MeanCores,
-			k.Memory*p.terms.AcceptMemory/p.terms.MeanMemory)
+		m.contract = min(k.Cores/p.terms.MeanCores, k.Memory/p.terms.MeanMemory)
 		m.listAsks = room{k.Cores - l.FreeCores, k.Memory - l.FreeMemory}
 	}
 	for i := len(p.order) - 1; i >= 0; i-- {
