--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,6 +22,7 @@
 	restAtMost  = 8 * Second
 	mostOut     = 0.5 // of all contracts: with more looking sick, the fault is not the machines'
 
+	overAsked  = 0.3 // share of bids without room from which low gain yields
 	sweepEvery = Second / 4
 	overdueAt  = Second / 2 // a bid so old on a machine not heard of since calls for a probe
 	askAgain   = Second     // after a failed list call; doubled up to askAtMost
@@ -41,6 +42,7 @@
 	services   map[string]*service
 	containers map[ContainerID]*container
 	starts     []startTimes // by workload
+	full       float64      // moving share of bids that found no room
 	trustAll   bool         // too many look sick: the test is not heeded
 	watchAt    Time         // when the list is to be asked for again; 0: not due
 	watchPause Time
@@ -250,7 +252,11 @@
 // place draws a machine for a container and bids, or answers its owner at once.
 func (p *Placer) place(c *container) {
 	var m *machine
-	if c.bids < p.terms.MostBids && p.now+edge < c.ask.Due {
+	most := p.terms.MostBids
+	if p.full > overAsked && p.rng.float() < p.full && c.workload.Gain < p.bestGain() {
+		most = 0
+	}
+	if c.bids < most && p.now+edge < c.ask.Due {
 		m = p.draw(c)
 	}
 	if m == nil {
@@ -265,6 +271,14 @@
 	p.do(Bid{c.ask.ID, m.id, p.patience(c)})
 }
 
+func (p *Placer) bestGain() float64 {
+	best := 0.0
+	for _, w := range p.terms.Workloads {
+		best = max(best, w.Gain)
+	}
+	return best
+}
+
 // answer ends a container: a pushback where a repeat does no harm, else a give-up.
 func (p *Placer) answer(c *container) {
 	w := c.workload
@@ -400,6 +414,7 @@
 		return
 	}
 	c.placed, c.at.heardAt = true, p.now
+	p.full -= p.full / 32
 	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
 	if s.mean == 0 {
 		s.mean, s.dev = took, took/2
@@ -438,6 +453,9 @@
 	switch e.Outcome {
 	case Full:
 		m.heardAt = p.now
+		if e.Reason == NoCores || e.Reason == NoMemory {
+			p.full += (1 - p.full) / 32
+		}
 		p.judge(m, false)
 	case NoConnect:
 		p.judge(m, true)
