--- a/placer/placer.go
+++ b/placer/placer.go
@@ -252,11 +252,7 @@
 // place draws a machine for a container and bids, or answers its owner at once.
 func (p *Placer) place(c *container) {
 	var m *machine
-	most := p.terms.MostBids
-	if p.full > overAsked && p.rng.float() < p.full && c.workload.Gain < p.bestGain() {
-		most = 0
-	}
-	if c.bids < most && p.now+edge < c.ask.Due {
+	if c.bids < p.terms.MostBids && p.now+edge < c.ask.Due && !p.yields(c) {
 		m = p.draw(c)
 	}
 	if m == nil {
@@ -271,6 +267,12 @@
 	p.do(Bid{c.ask.ID, m.id, p.patience(c)})
 }
 
+// yields tells whether a container makes way for those of higher gain: while more than overAsked of the bids
+// find no room, by chance, the more so the fuller the fleet and the lower its gain.
+func (p *Placer) yields(c *container) bool {
+	return p.full > overAsked && p.rng.float() < p.full*(1-c.workload.Gain/p.bestGain())*2
+}
+
 func (p *Placer) bestGain() float64 {
 	best := 0.0
 	for _, w := range p.terms.Workloads {
