--- /dev/null
+++ b/cmd/adapter/main_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+)
+
+func TestRun(t *testing.T) {
+	for _, tc := range []struct{ name, in, out, err string }{
+		{"empty input", "", "", ""},
+		{"empty frame", "FRAME 8412.25 1\nCOMMIT\n", "DONE 1\n", ""},
+		{"unknown instance", "FRAME 1 1\nVANISHED 3 r-1\nCOMMIT\n", "", "line 2: instance 3 is not known"},
+		{"cut off", "FRAME 1 1\nCOMMIT\nFRAME 2 2\n", "DONE 1\n", "input ends inside a frame"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var out bytes.Buffer
+			err := run(strings.NewReader(tc.in), &out)
+			if out.String() != tc.out {
+				t.Errorf("wrote %q, want %q", out.String(), tc.out)
+			}
+			if (err == nil) != (tc.err == "") || err != nil && !strings.Contains(err.Error(), tc.err) {
+				t.Errorf("error %v, want %q", err, tc.err)
+			}
+		})
+	}
+}
+
+func TestPanicIsAFault(t *testing.T) {
+	var out bytes.Buffer
+	decide(&out, 1, &turn{instance: 3}) // no placer to ask
+	if !strings.HasPrefix(out.String(), "FAULT 3 ") {
+		t.Errorf("wrote %q", out.String())
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,163 @@
+package wire
+
+import (
+	"bytes"
+	"io"
+	"reflect"
+	"strings"
+	"testing"
+
+	"glenport/placer"
+)
+
+const start = "CONFIGURE 3 51 balancers=3 family_info.admit_cores=2.0 family_info.mem_booking=1.5" +
+	" family_info.unit_cores=0.96 family_info.unit_memory=1.73 family_info.yes_at=running" +
+	" family_info.use_notes=false family_info.view=true permissions.probes=true permissions.cancel=true" +
+	" permissions.max_attempts=4 registry_mode=on_request rules.ask_every_ms=10000.0 rules.cold_ms=17000.0" +
+	" rules.cold_from=0.28 rules.overload_for_ms=3000.0 family_info.fresh_offers=103.0" +
+	" family_info.cpu_of_kind=26,41 family_info.kind_memory=59.0,71.0 family_info.class_kind=-1,1" +
+	" family_info.class_most=2,3 family_info.precedence=0,1 family_info.spread_over=silent,cell" +
+	" classes.count=2 classes.0.effect=safe classes.0.aim_ms=700.0 classes.0.deadline_ms=6000.0" +
+	" classes.0.credit=1.0 classes.1.effect=keyed classes.1.aim_ms=700.0 classes.1.deadline_ms=6000.0" +
+	" classes.1.credit=2.0 classes.1.group=zone classes.1.window_ms=8000.0 a.new.key=what_is_this"
+
+const list = "SHEET 0 1\nITEM m:1 0 1 2 SERVING 3.5 1 12 6100.05\n"
+
+func read(lines string) ([]Delivery, error) {
+	d := NewDecoder(strings.NewReader(lines))
+	f, err := d.Next()
+	if err != nil {
+		return nil, err
+	}
+	if _, err := d.Next(); err != io.EOF {
+		return nil, err
+	}
+	return f.Deliveries, nil
+}
+
+func TestEvents(t *testing.T) {
+	entry := placer.Entry{Machine: "m:1", Kind: 1, Cell: 2, FreeCores: 3.5, PowerHint: 1, FreeMemory: 12,
+		StartedAt: 61000}
+	ask := placer.Ask{ID: "r-1", Key: "t:k", Service: "c:s", Workload: 1, Customer: 2, Cores: 2, Memory: 1.5,
+		Due: 86522, Life: 120, Again: true}
+	for _, tc := range []struct {
+		line string
+		want placer.Event
+	}{
+		{list + "UPDATE 3 Persisted 41 0",
+			placer.ListCame{Mode: placer.OldList, Version: 41, Entries: []placer.Entry{entry}}},
+		{list + "SHEET 0 0\nUPDATE 3 Complete 42 0", placer.ListCame{Mode: placer.WholeList, Version: 42}},
+		{"UPDATE 3 Error 0 -", placer.ListCame{Mode: placer.ListFailed}},
+		{"PENDING 3 r-1 2 17 t:k 1 1.5 2 8652.25 c:s 12.0", placer.Asked{Ask: ask}},
+		{"PENDING 3 r-1 - 0 t:k 0 1.5 2 8652.25 c:s -", placer.Asked{Ask: placer.Ask{ID: "r-1", Key: "t:k",
+			Service: "c:s", Cores: 2, Memory: 1.5, Due: 86522}}},
+		{"ALREADY_PLACED 3 r-1 c:s 8652.25 1 2 t:k 2 1.5 16 12.0 m:1",
+			placer.TookOver{Ask: ask, Machine: "m:1"}},
+		{"CONFIRMED 3 r-1 2 m:1 18.55", placer.Placed{ID: "r-1", Bid: 2, Machine: "m:1", Took: 185}},
+		{"INTERIM 3 r-1 m:1 0 2 0.5",
+			placer.Noted{ID: "r-1", Machine: "m:1", Sort: placer.CoresUsed, Amount: 0.5}},
+		{"DONE 3 r-1 1 0 GOOD m:1 - 18.5 x0:1.5,new:2,x1:-", placer.Ended{ID: "r-1", Over: true,
+			Machine: "m:1", Took: 185, Report: placer.Report{"x0": 1.5, "new": 2}}},
+		{"DONE 3 r-1 0 1 FULL m:1 2 - -", placer.Ended{ID: "r-1", Bid: 1, Outcome: placer.Full,
+			Reason: placer.NoMemory, Machine: "m:1"}},
+		{"HEALTH_RESULT 3 m:1 LATE 250.0 -",
+			placer.Probed{Machine: "m:1", Outcome: placer.TimedOut, Took: 2500}},
+		{"TICK_DUE 3 sweep", placer.Woke{Name: "sweep"}},
+		{"NOTE_FROM 3 1 68692037", placer.Heard{From: 1, Data: []byte("hi 7")}},
+		{"VANISHED 3 r-1", placer.Vanished{ID: "r-1"}},
+	} {
+		t.Run(tc.line, func(t *testing.T) {
+			got, err := read("FRAME 8412.25 1\n" + tc.line + "\nCOMMIT\n")
+			if err != nil || len(got) != 1 {
+				t.Fatalf("%v, %d events", err, len(got))
+			}
+			if !reflect.DeepEqual(got[0].Event, tc.want) || got[0].Instance != 3 {
+				t.Errorf("got %+v, want %+v", got[0].Event, tc.want)
+			}
+		})
+	}
+}
+
+func TestStart(t *testing.T) {
+	got, err := read("FRAME 1 1\n" + start + "\nCOMMIT\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := placer.Workload{Effect: placer.Numbered, Repeats: placer.OneZone, Window: 80000, Agreed: 7000,
+		HardStop: 60000, Kind: 1, Spread: placer.OneCell, Most: 3, Gain: 2, Priority: 1}
+	if s := got[0].Start; s.Seed != 51 || s.Placers != 3 || s.Workloads[1] != want || s.Kinds[1].Memory != 71 {
+		t.Errorf("got %+v", s)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	frame := func(s string) string { return "FRAME 1 1\n" + s + "\nCOMMIT\n" }
+	for _, tc := range []struct{ name, lines, want string }{
+		{"no frame", "COMMIT\n", "line 1: a FRAME line"},
+		{"unknown message", frame("WHAT 3"), "line 2: unknown message"},
+		{"field missing", frame("VANISHED 3"), "line 2: a field is missing"},
+		{"field too many", frame("VANISHED 3 r-1 r-2"), "1 fields too many"},
+		{"no number", frame("CONFIRMED 3 r-1 0 m:1 soon"), `"soon" is no number`},
+		{"not finite", frame("CONFIRMED 3 r-1 0 m:1 NaN"), `"NaN" is no number`},
+		{"unknown outcome", frame("DONE 3 r-1 1 0 FINE m:1 - 1 -"), `"FINE" is not known`},
+		{"unknown list", frame("UPDATE 3 Complete 1 5"), `no list has the number "5"`},
+		{"too few entries", frame("SHEET 0 2\nITEM m:1 0 0 0 SERVING 1 1 1 -"), "breaks off after 1"},
+		{"endless list", "FRAME 1 1\nSHEET 0 2\n", "input ends inside a list"},
+		{"list number", frame("SHEET 16 0"), "out of range"},
+		{"cut line", "FRAME 1 1\nVANI", "line 2: input ends inside a line"},
+		{"cut frame", "FRAME 1 1\nVANISHED 3 r-1\n", "input ends inside a frame"},
+		{"setting missing", frame("CONFIGURE 3 51 balancers=3"), "is missing"},
+		{"setting odd", frame(strings.Replace(start, "safe", "sure", 1)), "is none of safe"},
+		{"setting short", frame(strings.Replace(start, "59.0,71.0", "59.0", 1)), "has 1 values, not 2"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if _, err := read(tc.lines); err == nil || !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("got %v, want %s", err, tc.want)
+			}
+		})
+	}
+}
+
+func TestActions(t *testing.T) {
+	for _, tc := range []struct {
+		action placer.Action
+		want   string
+	}{
+		{placer.Bid{ID: "r-1", Machine: "m:1", MaxWait: 800}, "BIND 3 r-1 m:1 80.0"},
+		{placer.PushBack{ID: "r-1"}, "BUSY 3 r-1 0.0"},
+		{placer.GiveUp{ID: "r-1"}, "FAIL 3 r-1"},
+		{placer.Withdraw{ID: "r-1", Bid: 1}, "UNDO_SEND 3 r-1 1"},
+		{placer.Move{ID: "r-1"}, "VACATE 3 r-1"},
+		{placer.Probe{Machine: "m:1"}, "PING 3 m:1"},
+		{placer.Disconnect{Machine: "m:1"}, "CLOSE 3 m:1"},
+		{placer.Wake{After: 5000, Name: "sweep"}, "AFTER 3 500.0 sweep"},
+		{placer.Tell{To: -1, Data: []byte("hi 7")}, "POST 3 -1 68692037"},
+		{placer.Watch{On: true}, "WATCH 3 1"},
+		{placer.Fetch{}, "FETCH 3"},
+		{placer.Log{Text: "two\nlines"}, "DEBUG 3 two lines"},
+	} {
+		t.Run(tc.want, func(t *testing.T) {
+			var b bytes.Buffer
+			if Append(&b, 3, tc.action); b.String() != tc.want+"\n" {
+				t.Errorf("got %q", b.String())
+			}
+		})
+	}
+}
+
+// Whatever comes in, the decoder ends with frames or a plain error.
+func FuzzDecoder(f *testing.F) {
+	f.Add("FRAME 1 1\n" + start + "\n" + list + "UPDATE 3 Persisted 41 0\nCOMMIT\n")
+	f.Add("FRAME 1 1\nDONE 3 r-1 1 0 GOOD m:1 - 18.5 x0:1.5\nVANISHED 3 r-1\nCOMMIT\n")
+	f.Fuzz(func(t *testing.T, s string) {
+		d := NewDecoder(strings.NewReader(s))
+		for {
+			if _, err := d.Next(); err != nil {
+				if err != io.EOF && !strings.HasPrefix(err.Error(), "line ") {
+					t.Errorf("no line named: %v", err)
+				}
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,403 @@
+package placer
+
+import (
+	"fmt"
+	"math"
+	"testing"
+)
+
+func TestDrawOdds(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		setup func(*Placer)
+		want  func(m *machine) float64
+	}{
+		{"by contract", func(*Placer) {}, func(m *machine) float64 { return m.contract }},
+		{"not by placement", func(p *Placer) {
+			for i := 0; i < 30; i++ {
+				tookOver(p, fmt.Sprint("own", i), "busy", "b")
+			}
+		}, func(m *machine) float64 { return m.contract }},
+		{"not by reported room", func(p *Placer) {
+			p.Handle(1, []Event{ListCame{Mode: Changes, Entries: []Entry{
+				{Machine: "b", Zone: 0, Cell: 0, Kind: 1, FreeCores: -99, FreeMemory: -99}}}})
+		}, func(m *machine) float64 { return m.contract }},
+		{"by honored capacity", func(p *Placer) {
+			p.terms.UseNotes = true
+			tookOver(p, "hog", "other", "b")
+			p.Handle(1, []Event{Noted{ID: "hog", Machine: "b", Sort: CoresUsed, Amount: 35}})
+		}, func(m *machine) float64 {
+			if m.id == "b" {
+				return 40 - (35 - 1) // one core was asked for
+			}
+			return m.contract
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := fleet(terms(Reissuable))
+			tc.setup(p)
+			const n = 20000
+			seen, sum := map[*machine]float64{}, 0.0
+			for i := 0; i < n; i++ {
+				c := p.take(Ask{ID: "x", Service: fmt.Sprint("s", i), Cores: 1, Memory: 1})
+				seen[p.draw(c)]++
+				c.closed = true
+				p.forget(c)
+			}
+			for _, m := range p.order {
+				sum += tc.want(m)
+			}
+			for _, m := range p.order {
+				if got, want := seen[m]/n, tc.want(m)/sum; math.Abs(got-want) > 0.015 {
+					t.Errorf("%s: drawn %.3f of the time, want %.3f", m.id, got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestHonored(t *testing.T) {
+	for _, tc := range []struct {
+		name                 string
+		notes, listed        bool
+		used, asked, listAsk float64
+		want                 float64
+	}{
+		{"no notes", false, true, 30, 1, 1, 40},
+		{"asks not known", true, false, 30, 1, 1, 40},
+		{"within the asks", true, true, 10, 4, 12, 40},
+		{"beyond the list's asks", true, true, 20, 4, 12, 32},
+		{"beyond own asks, list late", true, true, 20, 15, 12, 35},
+		{"floor", true, true, 500, 4, 12, 40 * weightFloor},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := fleet(terms(Reissuable))
+			p.terms.UseNotes, p.terms.ListedAsks = tc.notes, tc.listed
+			m := p.machines["b"]
+			m.used.cores, m.asked.cores, m.listAsks.cores = tc.used, tc.asked, tc.listAsk
+			if got := p.honored(m); math.Abs(got-tc.want) > 1e-9 {
+				t.Errorf("honored %.2f, want %.2f", got, tc.want)
+			}
+		})
+	}
+}
+
+// The answers that each effect and outcome of a first bid allow.
+func TestAfterOutcome(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		effect  Effect
+		repeats Place
+		outcome Outcome
+		wait    Time // until the outcome
+		want    string
+	}{
+		{"reissuable timed out", Reissuable, 0, TimedOut, Second, "bid"},
+		{"reissuable full", Reissuable, 0, Full, Second, "bid"},
+		{"at-most-once full", AtMostOnce, 0, Full, Second, "bid"},
+		{"at-most-once refused connection", AtMostOnce, 0, NoConnect, Second, "bid"},
+		{"at-most-once not sent", AtMostOnce, 0, NotSent, Second, "bid"},
+		{"at-most-once timed out", AtMostOnce, 0, TimedOut, Second, "give up"},
+		{"at-most-once erred", AtMostOnce, 0, Erred, Second, "give up"},
+		{"at-most-once reset", AtMostOnce, 0, Reset, Second, "give up"},
+		{"numbered stays in its zone", Numbered, OneZone, TimedOut, Second, "bid in zone"},
+		{"numbered stays in its cell", Numbered, OneCell, TimedOut, Second, "give up"},
+		{"numbered anywhere", Numbered, Everywhere, TimedOut, Second, "bid"},
+		{"numbered past its window", Numbered, OneZone, TimedOut, 5 * Second, "give up"},
+		{"numbered past its window, anywhere", Numbered, Everywhere, TimedOut, 5 * Second, "push back"},
+		{"at the hard stop", Reissuable, 0, TimedOut, 10 * Second, "push back"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tm := terms(tc.effect)
+			tm.Workloads[0].Repeats, tm.Workloads[0].Window = tc.repeats, 5*Second
+			p := fleet(tm)
+			first := ask(p, 0, "x", "s")
+			got := p.Handle(tc.wait, []Event{Ended{ID: "x", Outcome: tc.outcome, Machine: first}})
+			switch a := last(got).(type) {
+			case Bid:
+				same := p.machines[a.Machine].zone == p.machines[first].zone
+				if tc.want != "bid" && (tc.want != "bid in zone" || !same) || a.Machine == first {
+					t.Errorf("bid to %s after %s", a.Machine, first)
+				}
+			case PushBack:
+				if tc.want != "push back" {
+					t.Error("pushed back")
+				}
+			case GiveUp:
+				if tc.want != "give up" {
+					t.Error("given up")
+				}
+			default:
+				t.Errorf("no answer and no bid: %v", got)
+			}
+		})
+	}
+}
+
+func TestOneAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		events []Event
+		want   int // actions for the container after its first bid
+	}{
+		{"withdrawn, then its outcome", []Event{Vanished{"x"}, Ended{ID: "x", Outcome: TimedOut}}, 0},
+		{"outcome closes it, then it vanishes", []Event{Ended{ID: "x", Over: true, Outcome: Finished},
+			Vanished{"x"}}, 0},
+		{"placed, then lost", []Event{Placed{ID: "x"}, Ended{ID: "x", Over: true, Outcome: Reset}}, 0},
+		{"every machine full", []Event{Ended{ID: "x", Outcome: Full}, Ended{ID: "x", Outcome: Full},
+			Ended{ID: "x", Outcome: Full}, Ended{ID: "x", Outcome: Full}}, 4},
+		{"unknown to us", []Event{Noted{ID: "y"}, Ended{ID: "y"}, Placed{ID: "y"}, Vanished{"y"}}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := fleet(terms(Reissuable))
+			ask(p, 0, "x", "s")
+			n := 0
+			for i, e := range tc.events {
+				for _, a := range p.Handle(Time(i+1), []Event{e}) {
+					if _, ok := a.(Log); !ok {
+						n++
+					}
+				}
+			}
+			if n != tc.want {
+				t.Errorf("%d actions, want %d", n, tc.want)
+			}
+			if len(p.containers) > 1 || tc.want == 0 && len(p.containers)+len(p.services) != 0 &&
+				tc.name != "unknown to us" {
+				t.Error("tables are not emptied")
+			}
+		})
+	}
+}
+
+func TestFilters(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		setup func(p *Placer)
+		want  string // machines that may be bid to
+	}{
+		{"all", func(*Placer) {}, "abcd"},
+		{"draining and gone", func(p *Placer) {
+			p.Handle(0, []Event{ListCame{Mode: Changes, Entries: []Entry{
+				{Machine: "a", State: Draining}, {Machine: "b", State: Gone, Kind: 1}}}})
+		}, "cd"},
+		{"absent from a whole list", func(p *Placer) {
+			p.Handle(0, []Event{ListCame{Mode: WholeList, Entries: []Entry{{Machine: "c"}}}})
+		}, "c"},
+		{"kind", func(p *Placer) { p.terms.Workloads[0].Kind = 1 }, "b"},
+		{"kinds too small", func(p *Placer) { p.terms.Kinds[0].Cores = 0.4 }, "b"},
+		{"spread over machines", func(p *Placer) {
+			p.terms.Workloads[0].Spread, p.terms.Workloads[0].Most = OneMachine, 2
+			tookOver(p, "o1", "s", "a")
+			ask(p, 0, "o2", "s")
+			p.move("o2", "a")
+		}, "bcd"},
+		{"spread over zones", func(p *Placer) {
+			p.terms.Workloads[0].Spread, p.terms.Workloads[0].Most = OneZone, 1
+			tookOver(p, "o1", "s", "a")
+		}, "cd"},
+		{"spread: running on a machine no list has named", func(p *Placer) {
+			p.terms.Workloads[0].Spread, p.terms.Workloads[0].Most = OneZone, 1
+			tookOver(p, "o1", "s", "nowhere")
+		}, ""},
+		{"cold, its budget spent", func(p *Placer) {
+			m := p.machines["a"]
+			m.started = p.now + 1
+			for i := 0; i < p.terms.ColdBids/p.terms.Placers; i++ {
+				m.coldBids = append(m.coldBids, p.now)
+			}
+		}, "bcd"},
+		{"cold, just after own start", func(p *Placer) {
+			p.machines["a"].started, p.began = p.now+1, p.now
+		}, "bcd"},
+		{"sick", func(p *Placer) {
+			p.judge(p.machines["a"], true)
+			p.judge(p.machines["a"], true)
+		}, "bcd"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := fleet(terms(Reissuable))
+			p.now, p.began = 100*Second, 0
+			tc.setup(p)
+			c, got := p.take(Ask{ID: "x", Service: "s", Cores: 1, Memory: 1}), ""
+			for _, m := range p.order {
+				if p.mayBid(c, m) {
+					got += string(m.id)
+				}
+			}
+			if got != tc.want {
+				t.Errorf("may bid to %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// However bids come, no window of a cold machine holds more of them than this placer's part.
+func TestColdBudgetInAnyWindow(t *testing.T) {
+	for _, gap := range []Time{10, 100, 1000, 3000} {
+		t.Run(fmt.Sprint("a container every ", gap), func(t *testing.T) {
+			p := fleet(terms(Reissuable))
+			for _, m := range p.order {
+				m.started = 1
+			}
+			var sent []Time
+			for now := Time(10); now < p.terms.ColdFor; now += gap {
+				acts := p.Handle(now, []Event{Asked{Ask{ID: ContainerID(fmt.Sprint(now)), Service: "s",
+					Cores: 1, Memory: 1, Due: now + 5*Second}}})
+				if b, ok := last(acts).(Bid); ok && b.Machine == "a" {
+					sent = append(sent, now)
+				}
+			}
+			for i := range sent {
+				n := 0
+				for _, at := range sent[i:] {
+					if at < sent[i]+p.terms.ColdWindow {
+						n++
+					}
+				}
+				if n > p.terms.ColdBids/p.terms.Placers {
+					t.Fatalf("%d bids in the window from %d", n, sent[i])
+				}
+			}
+		})
+	}
+}
+
+func TestSequentialTest(t *testing.T) {
+	fail := Ended{Outcome: NoConnect}
+	for _, tc := range []struct {
+		name     string
+		outcomes []Event // on machine a
+		out      bool
+	}{
+		{"one failure", []Event{fail}, false},
+		{"two in a row", []Event{fail, fail}, true},
+		{"failures among yeses", []Event{fail, Placed{}, Placed{}, fail, Placed{}, Placed{}, fail}, false},
+		{"full is not sick", []Event{Ended{Outcome: Full, Reason: NoMemory}, Ended{Outcome: Full},
+			Ended{Outcome: Full}, Ended{Outcome: Full}}, false},
+		{"silent", []Event{Ended{Outcome: TimedOut}, Ended{Outcome: TimedOut}}, true},
+		{"late but heard of", []Event{Probed{Machine: "a"}, Ended{Outcome: TimedOut},
+			Ended{Outcome: TimedOut}, Ended{Outcome: TimedOut}}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := fleet(terms(Reissuable))
+			for i := range tc.outcomes {
+				id := ContainerID(fmt.Sprint("x", i))
+				ask(p, Time(i*10+1), id, "s")
+				p.move(id, "a")
+			}
+			for i, e := range tc.outcomes {
+				id := ContainerID(fmt.Sprint("x", i))
+				switch e := e.(type) {
+				case Ended:
+					e.ID, e.Over = id, true
+					tc.outcomes[i] = e
+				case Placed:
+					tc.outcomes[i] = Placed{ID: id}
+				}
+				p.Handle(Second+Time(i*10), tc.outcomes[i:i+1])
+			}
+			if out := p.machines["a"].restUntil > 0; out != tc.out {
+				t.Errorf("out %t, want %t (log odds %.1f)", out, tc.out, p.machines["a"].sick)
+			}
+		})
+	}
+	t.Run("not when most look sick", func(t *testing.T) {
+		p := fleet(terms(Reissuable))
+		for _, m := range p.order {
+			p.judge(m, true)
+			p.judge(m, true)
+		}
+		if ask(p, 0, "x", "s") == "" {
+			t.Error("the fleet is empty")
+		}
+	})
+	t.Run("comes back by a probe", func(t *testing.T) {
+		p := fleet(terms(Reissuable))
+		m := p.machines["a"]
+		p.judge(m, true)
+		p.judge(m, true)
+		acts := p.Handle(m.restUntil, []Event{Woke{"sweep"}})
+		if pr, ok := last(acts).(Probe); !ok || pr.Machine != "a" {
+			t.Fatalf("no probe: %v", acts)
+		}
+		p.Handle(m.restUntil+100, []Event{Probed{Machine: "a", Outcome: Finished}})
+		if m.restUntil > 0 {
+			t.Error("still out")
+		}
+		p.judge(m, true)
+		if m.restUntil == 0 {
+			t.Error("a failure on trial does not take it out again")
+		}
+	})
+}
+
+func TestListCalls(t *testing.T) {
+	tm := terms(Reissuable)
+	tm.ListOnAsk, tm.AskWithin = true, 10*Second
+	p := New(tm)
+	watches := func(now Time, e Event) (n int) {
+		for _, a := range p.Handle(now, []Event{e}) {
+			if _, ok := a.(Watch); ok {
+				n++
+			}
+		}
+		return n
+	}
+	for _, tc := range []struct {
+		name string
+		now  Time
+		e    Event
+		want int
+	}{
+		{"at start", 0, ListCame{Mode: OldList}, 1},
+		{"it failed", Second, ListCame{Mode: ListFailed}, 0},
+		{"too early", Second + Second/2, Woke{"sweep"}, 0},
+		{"again", 2 * Second, Woke{"sweep"}, 1},
+		{"failed once more", 2*Second + 1, ListCame{Mode: ListFailed}, 0},
+		{"waits longer", 3*Second + 2, Woke{"sweep"}, 0},
+		{"and again", 4*Second + 1, Woke{"sweep"}, 1},
+		{"it came", 5 * Second, ListCame{Mode: WholeList}, 0},
+		{"all is well", 20 * Second, Woke{"sweep"}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := watches(tc.now, tc.e); got != tc.want {
+				t.Errorf("%d watches, want %d", got, tc.want)
+			}
+		})
+	}
+}
+
+// While bids find no room, low gain yields to high gain; with room it does not.
+func TestYield(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		full     float64
+		workload int
+		least    int
+		most     int
+	}{
+		{"room, low gain", 0.1, 0, 0, 0},
+		{"full, low gain", 0.6, 0, 500, 700},
+		{"full, best gain", 0.9, 1, 0, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tm := terms(Reissuable)
+			tm.Workloads = append(tm.Workloads, tm.Workloads[0])
+			tm.Workloads[1].Gain = 2 * tm.Workloads[0].Gain
+			p, n := fleet(tm), 0
+			p.full = tc.full
+			for i := 0; i < 1000; i++ {
+				id := ContainerID(fmt.Sprint(i))
+				acts := p.Handle(0, []Event{Asked{Ask{ID: id, Service: "s", Workload: tc.workload,
+					Cores: 1, Memory: 1, Due: 5 * Second}}})
+				if _, ok := last(acts).(PushBack); ok {
+					n++
+				}
+			}
+			if n < tc.least || n > tc.most {
+				t.Errorf("%d of 1000 pushed back, want %d to %d", n, tc.least, tc.most)
+			}
+		})
+	}
+}
