--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -34,7 +34,7 @@
 
 func (s *startup) count(path string) int {
 	n, err := strconv.Atoi(s.text(path))
-	if (err != nil || n < 0 || n > 1_000_000) && s.fault == nil {
+	if (err != nil || n < 0 || n > 10_000_000) && s.fault == nil {
 		s.fault = fmt.Errorf("setting %s=%q is no count", path, s.pairs[path])
 	}
 	return n
@@ -116,6 +116,9 @@
 		t.Kinds = append(t.Kinds, placer.Kind{Cores: c, Memory: memory[i]})
 	}
 	n := s.count("classes.count")
+	if n > len(fields) && s.fault == nil {
+		s.fault = fmt.Errorf("setting classes.count=%d, with %d settings in all", n, len(fields))
+	}
 	if s.fault != nil {
 		return t, s.fault
 	}
@@ -153,6 +156,9 @@
 	}
 	if _, ok := s.pairs["tenants.count"]; ok {
 		n := s.count("tenants.count")
+		if n > len(fields) && s.fault == nil {
+			s.fault = fmt.Errorf("setting tenants.count=%d, with %d settings in all", n, len(fields))
+		}
 		if s.fault != nil {
 			return t, s.fault
 		}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -40,7 +40,7 @@
 	known [16]bool
 }
 
-func NewDecoder(r io.Reader) *Decoder { return &Decoder{in: bufio.NewReaderSize(r, 1<<20)} }
+func NewDecoder(r io.Reader) *Decoder { return &Decoder{in: bufio.NewReaderSize(r, 1<<16)} }
 
 // tenths rounds down, so that no time read is later than the one sent.
 func tenths(ms float64) placer.Time { return placer.Time(math.Floor(ms*10 + 1e-6)) }
