--- a/placer/placer.go
+++ b/placer/placer.go
@@ -496,6 +496,26 @@
 		m.rest = min(2*m.rest, restAtMost)
 		p.log("machine %s out: log odds %.1f", m.id, m.sick)
 		p.weighTrust()
+		p.withdraw(m)
+	}
+}
+
+// withdraw takes back the bids that wait on a machine just taken out, where the container may go elsewhere.
+func (p *Placer) withdraw(m *machine) {
+	if p.trustAll || !p.terms.MayWithdraw {
+		return
+	}
+	var waiting []*container
+	for _, c := range p.containers {
+		w := c.workload
+		if c.at == m && !c.placed && !c.closed && c.bids < p.terms.MostBids &&
+			(w.Effect == Reissuable || w.Effect == Numbered && w.Repeats != OneMachine) {
+			waiting = append(waiting, c)
+		}
+	}
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i].ask.ID < waiting[j].ask.ID })
+	for _, c := range waiting {
+		p.do(Withdraw{c.ask.ID, c.bids - 1})
 	}
 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -312,6 +312,16 @@
 			t.Error("the fleet is empty")
 		}
 	})
+	t.Run("its waiting bids are withdrawn", func(t *testing.T) {
+		p := fleet(terms(Reissuable))
+		ask(p, 1, "x", "s")
+		p.move("x", "a")
+		p.judge(p.machines["a"], true)
+		acts := p.Handle(2, []Event{Ended{ID: "none"}, Probed{Machine: "a", Outcome: TimedOut}})
+		if w, ok := last(acts).(Withdraw); !ok || w.ID != "x" {
+			t.Errorf("not withdrawn: %v", acts)
+		}
+	})
 	t.Run("comes back by a probe", func(t *testing.T) {
 		p := fleet(terms(Reissuable))
 		m := p.machines["a"]
