--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,7 +22,8 @@
 	restAtMost  = 8 * Second
 	mostOut     = 0.5 // of all contracts: with more looking sick, the fault is not the machines'
 
-	overAsked  = 0.3 // share of bids without room from which low gain yields
+	overAsked  = 0.3        // share of bids without room from which low gain yields
+	leaving    = 5 * Second // a machine that closes down stays out so long after its last word of it
 	sweepEvery = Second / 4
 	overdueAt  = Second / 2 // a bid so old on a machine not heard of since calls for a probe
 	askAgain   = Second     // after a failed list call; doubled up to askAtMost
@@ -68,6 +69,7 @@
 	rest      Time
 	probing   bool
 	heardAt   Time // last sign of life
+	leavingAt Time // last word that it sends containers away or takes none
 }
 
 type room struct{ cores, memory float64 }
@@ -152,7 +154,7 @@
 func (p *Placer) machine(id MachineID) *machine {
 	m := p.machines[id]
 	if m == nil {
-		m = &machine{id: id, hash: hash(string(id)), state: Gone, rest: restAtFirst}
+		m = &machine{id: id, leavingAt: -leaving, hash: hash(string(id)), state: Gone, rest: restAtFirst}
 		p.machines[id] = m
 		i := sort.Search(len(p.order), func(i int) bool { return p.order[i].id >= id })
 		p.order = append(p.order, nil)
@@ -338,7 +340,7 @@
 			return false
 		}
 	}
-	if m.restUntil > 0 && !p.trustAll {
+	if m.restUntil > 0 && !p.trustAll || p.now < m.leavingAt+leaving {
 		return false
 	}
 	if c.ranAt != nil {
@@ -471,6 +473,15 @@
 	if e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NotSent && c.ranAt == nil {
 		c.ranAt, c.ranSince = m, c.sentAt
 	}
+	// A machine that sends containers away, or is "not here" to one that stands nowhere, is closing down
+	// before the list says so. This also covers lists that are late or out of reach; it could keep out, for
+	// a while, a machine that turns one container away for reasons of its own.
+	if e.Reason == SentAway || e.Reason == NotHere && c.ranAt == nil && !c.ask.Again {
+		if p.now >= m.leavingAt+leaving {
+			p.log("machine %s closing: reason %d", m.id, e.Reason)
+		}
+		m.leavingAt = p.now
+	}
 	c.left = append(c.left, m)
 	if e.Over || placed || c.closed {
 		c.closed = true
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -210,6 +210,15 @@
 		{"cold, just after own start", func(p *Placer) {
 			p.machines["a"].started, p.began = p.now+1, p.now
 		}, "bcd"},
+		{"sent a container away", func(p *Placer) {
+			tookOver(p, "o1", "o", "a")
+			p.Handle(p.now, []Event{Ended{ID: "o1", Over: true, Outcome: Reset, Reason: SentAway}})
+		}, "bcd"},
+		{"not here", func(p *Placer) {
+			ask(p, p.now, "o1", "o")
+			p.move("o1", "a")
+			p.Handle(p.now, []Event{Ended{ID: "o1", Outcome: Full, Reason: NotHere}})
+		}, "bcd"},
 		{"sick", func(p *Placer) {
 			p.judge(p.machines["a"], true)
 			p.judge(p.machines["a"], true)
