--- a/placer/placer.go
+++ b/placer/placer.go
@@ -43,7 +43,7 @@
 	services   map[string]*service
 	containers map[ContainerID]*container
 	starts     []startTimes // by workload
-	full       float64      // moving share of bids that found no room
+	full       []float64    // by workload: moving share of bids that found no room
 	trustAll   bool         // too many look sick: the test is not heeded
 	watchAt    Time         // when the list is to be asked for again; 0: not due
 	watchPause Time
@@ -102,7 +102,7 @@
 func New(t Terms) *Placer {
 	return &Placer{terms: t, rng: pcg{t.Seed}, machines: map[MachineID]*machine{},
 		services: map[string]*service{}, containers: map[ContainerID]*container{},
-		starts: make([]startTimes, len(t.Workloads)), began: -1}
+		starts: make([]startTimes, len(t.Workloads)), full: make([]float64, len(t.Workloads)), began: -1}
 }
 
 // Handle takes what happened by now and returns what is to be done.
@@ -269,18 +269,16 @@
 	p.do(Bid{c.ask.ID, m.id, p.patience(c)})
 }
 
-// yields tells whether a container makes way for those of higher gain: while more than overAsked of the bids
-// find no room, by chance, the more so the fuller the fleet and the lower its gain.
+// yields tells whether a container makes way for those of higher gain: while more than overAsked of their bids
+// find no room, by chance, the more so the fuller the fleet is for them and the less it gains beside them.
 func (p *Placer) yields(c *container) bool {
-	return p.full > overAsked && p.rng.float() < p.full*(1-c.workload.Gain/p.bestGain())*2
-}
-
-func (p *Placer) bestGain() float64 {
-	best := 0.0
-	for _, w := range p.terms.Workloads {
-		best = max(best, w.Gain)
+	odds := 0.0
+	for i, w := range p.terms.Workloads {
+		if p.full[i] > overAsked && w.Gain > c.workload.Gain {
+			odds = max(odds, 2*p.full[i]*(1-c.workload.Gain/w.Gain))
+		}
 	}
-	return best
+	return odds > 0 && p.rng.float() < odds
 }
 
 // answer ends a container: a pushback where a repeat does no harm, else a give-up.
@@ -418,7 +416,7 @@
 		return
 	}
 	c.placed, c.at.heardAt = true, p.now
-	p.full -= p.full / 32
+	p.full[c.ask.Workload] -= p.full[c.ask.Workload] / 32
 	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
 	if s.mean == 0 {
 		s.mean, s.dev = took, took/2
@@ -458,7 +456,7 @@
 	case Full:
 		m.heardAt = p.now
 		if e.Reason == NoCores || e.Reason == NoMemory {
-			p.full += (1 - p.full) / 32
+			p.full[c.ask.Workload] += (1 - p.full[c.ask.Workload]) / 32
 		}
 		p.judge(m, false)
 	case NoConnect:
