--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -87,6 +87,7 @@
 	}
 	t := placer.Terms{
 		Seed:         seed,
+		Me:           s.count("me"),
 		Placers:      s.count("balancers"),
 		AcceptCores:  s.number("family_info.admit_cores"),
 		AcceptMemory: s.number("family_info.mem_booking"),
--- a/placer/api.go
+++ b/placer/api.go
@@ -52,6 +52,7 @@
 // Terms are what a placer is told when it starts.
 type Terms struct {
 	Seed         uint64
+	Me           int // this placer among them, from 0
 	Placers      int
 	Workloads    []Workload
 	Kinds        []Kind
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -386,8 +386,9 @@
 	return m.started > 0 && p.now < m.started+p.terms.ColdFor
 }
 
-// coldBears keeps to this placer's part of what a cold machine bears from all of them. For a window after
-// its own start a placer does not know what it sent in an earlier life, and sends nothing.
+// coldBears keeps to this placer's part of what a cold machine bears from all of them; what does not divide
+// goes to other placers at each machine. For a window after its own start a placer does not know what it
+// sent in an earlier life, and sends nothing.
 func (p *Placer) coldBears(m *machine) bool {
 	if !p.isCold(m) {
 		m.coldBids = nil
@@ -397,7 +398,12 @@
 	for len(m.coldBids) > 0 && m.coldBids[0] <= p.now-window {
 		m.coldBids = m.coldBids[1:]
 	}
-	return p.now >= p.began+window && len(m.coldBids) < p.terms.ColdBids/max(1, p.terms.Placers)
+	all := max(1, p.terms.Placers)
+	part := p.terms.ColdBids / all
+	if (p.terms.Me+int(m.hash%uint64(all)))%all < p.terms.ColdBids%all {
+		part++
+	}
+	return p.now >= p.began+window && len(m.coldBids) < part
 }
 
 // patience is a bid's time-out: long enough for nearly every start seen of that workload; to the end where
@@ -590,7 +596,9 @@
 			continue
 		}
 		if p.terms.MayProbe && p.coldBears(m) {
-			m.probing = true
+			if m.probing = true; p.isCold(m) {
+				m.coldBids = append(m.coldBids, p.now)
+			}
 			p.do(Probe{m.id})
 		} else if due && !p.terms.MayProbe {
 			p.readmit(m)
