--- a/placer/placer.go
+++ b/placer/placer.go
@@ -24,6 +24,7 @@
 
 	overAsked  = 0.3        // share of bids without room from which low gain yields
 	leaving    = 5 * Second // a machine that closes down stays out so long after its last word of it
+	yieldPace  = 4          // of full share and missing gain: half the gain at a quarter full yields every second time
 	sweepEvery = Second / 4
 	overdueAt  = Second / 2 // a bid so old on a machine not heard of since calls for a probe
 	askAgain   = Second     // after a failed list call; doubled up to askAtMost
@@ -275,7 +276,7 @@
 	odds := 0.0
 	for i, w := range p.terms.Workloads {
 		if p.full[i] > overAsked && w.Gain > c.workload.Gain {
-			odds = max(odds, 2*p.full[i]*(1-c.workload.Gain/w.Gain))
+			odds = max(odds, yieldPace*p.full[i]*(1-c.workload.Gain/w.Gain))
 		}
 	}
 	return odds > 0 && p.rng.float() < odds
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -403,7 +403,7 @@
 		most     int
 	}{
 		{"room, low gain", 0.1, 0, 0, 0},
-		{"full, low gain", 0.6, 0, 500, 700},
+		{"full, low gain", 0.35, 0, 620, 780},
 		{"full, best gain", 0.9, 1, 0, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
