--- a/placer/placer.go
+++ b/placer/placer.go
@@ -44,9 +44,10 @@
 	services   map[string]*service
 	containers map[ContainerID]*container
 	starts     []startTimes // by workload
-	full       []float64    // by workload: moving share of bids that found no room
-	trustAll   bool         // too many look sick: the test is not heeded
-	watchAt    Time         // when the list is to be asked for again; 0: not due
+	full       float64      // moving share of bids that found no room, and what they would have gained
+	missed     float64
+	trustAll   bool // too many look sick: the test is not heeded
+	watchAt    Time // when the list is to be asked for again; 0: not due
 	watchPause Time
 }
 
@@ -103,7 +104,7 @@
 func New(t Terms) *Placer {
 	return &Placer{terms: t, rng: pcg{t.Seed}, machines: map[MachineID]*machine{},
 		services: map[string]*service{}, containers: map[ContainerID]*container{},
-		starts: make([]startTimes, len(t.Workloads)), full: make([]float64, len(t.Workloads)), began: -1}
+		starts: make([]startTimes, len(t.Workloads)), began: -1}
 }
 
 // Handle takes what happened by now and returns what is to be done.
@@ -270,16 +271,10 @@
 	p.do(Bid{c.ask.ID, m.id, p.patience(c)})
 }
 
-// yields tells whether a container makes way for those of higher gain: while more than overAsked of their bids
-// find no room, by chance, the more so the fuller the fleet is for them and the less it gains beside them.
+// yields tells whether a container makes way for others: while more than overAsked of the bids find no room, by
+// chance, the more so the fuller the fleet and the less it gains than those that found none.
 func (p *Placer) yields(c *container) bool {
-	odds := 0.0
-	for i, w := range p.terms.Workloads {
-		if p.full[i] > overAsked && w.Gain > c.workload.Gain {
-			odds = max(odds, yieldPace*p.full[i]*(1-c.workload.Gain/w.Gain))
-		}
-	}
-	return odds > 0 && p.rng.float() < odds
+	return p.full > overAsked && p.rng.float() < yieldPace*p.full*(1-c.workload.Gain*p.full/p.missed)
 }
 
 // answer ends a container: a pushback where a repeat does no harm, else a give-up.
@@ -423,7 +418,8 @@
 		return
 	}
 	c.placed, c.at.heardAt = true, p.now
-	p.full[c.ask.Workload] -= p.full[c.ask.Workload] / 32
+	p.full -= p.full / 32
+	p.missed -= p.missed / 32
 	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
 	if s.mean == 0 {
 		s.mean, s.dev = took, took/2
@@ -463,7 +459,8 @@
 	case Full:
 		m.heardAt = p.now
 		if e.Reason == NoCores || e.Reason == NoMemory {
-			p.full[c.ask.Workload] += (1 - p.full[c.ask.Workload]) / 32
+			p.full += (1 - p.full) / 32
+			p.missed += (c.workload.Gain - p.missed) / 32
 		}
 		p.judge(m, false)
 	case NoConnect:
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -411,7 +411,7 @@
 			tm.Workloads = append(tm.Workloads, tm.Workloads[0])
 			tm.Workloads[1].Gain = 2 * tm.Workloads[0].Gain
 			p, n := fleet(tm), 0
-			p.full[1] = tc.full
+			p.full, p.missed = tc.full, tc.full*tm.Workloads[1].Gain
 			for i := 0; i < 1000; i++ {
 				id := ContainerID(fmt.Sprint(i))
 				acts := p.Handle(0, []Event{Asked{Ask{ID: id, Service: "s", Workload: tc.workload,
