--- a/placer/placer.go
+++ b/placer/placer.go
@@ -23,7 +23,8 @@
 	mostOut     = 0.5 // of all contracts: with more looking sick, the fault is not the machines'
 
 	overAsked  = 0.3        // share of bids without room from which low gain yields
-	leaving    = 5 * Second // a machine that closes down stays out so long after its last word of it
+	closing    = 5 * Second // a machine that closes down stays out so long after its last word of it
+	evicting   = Second     // likewise one that evicts for memory
 	yieldPace  = 4          // of full share and missing gain: half the gain at a quarter full yields every second time
 	sweepEvery = Second / 4
 	overdueAt  = Second / 2 // a bid so old on a machine not heard of since calls for a probe
@@ -71,7 +72,7 @@
 	rest      Time
 	probing   bool
 	heardAt   Time // last sign of life
-	leavingAt Time // last word that it sends containers away or takes none
+	shutUntil Time // out of every draw on its own word
 }
 
 type room struct{ cores, memory float64 }
@@ -156,7 +157,7 @@
 func (p *Placer) machine(id MachineID) *machine {
 	m := p.machines[id]
 	if m == nil {
-		m = &machine{id: id, leavingAt: -leaving, hash: hash(string(id)), state: Gone, rest: restAtFirst}
+		m = &machine{id: id, hash: hash(string(id)), state: Gone, rest: restAtFirst}
 		p.machines[id] = m
 		i := sort.Search(len(p.order), func(i int) bool { return p.order[i].id >= id })
 		p.order = append(p.order, nil)
@@ -334,7 +335,7 @@
 			return false
 		}
 	}
-	if m.restUntil > 0 && !p.trustAll || p.now < m.leavingAt+leaving {
+	if m.restUntil > 0 && !p.trustAll || p.now < m.shutUntil {
 		return false
 	}
 	if c.ranAt != nil {
@@ -475,14 +476,14 @@
 	if e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NotSent && c.ranAt == nil {
 		c.ranAt, c.ranSince = m, c.sentAt
 	}
-	// A machine that sends containers away, or is "not here" to one that stands nowhere, is closing down
-	// before the list says so. This also covers lists that are late or out of reach; it could keep out, for
-	// a while, a machine that turns one container away for reasons of its own.
-	if e.Reason == SentAway || e.Reason == NotHere && c.ranAt == nil && !c.ask.Again {
-		if p.now >= m.leavingAt+leaving {
-			p.log("machine %s closing: reason %d", m.id, e.Reason)
-		}
-		m.leavingAt = p.now
+	// A machine's own word comes before the list's: one that sends containers away, or is "not here" to one
+	// that stands nowhere, is closing down; one that evicts is full whatever it accepts. This also covers
+	// lists that are late or out of reach; it keeps out too long a machine that did so to one container only.
+	switch {
+	case e.Reason == SentAway || e.Reason == NotHere && c.ranAt == nil && !c.ask.Again:
+		p.shut(m, closing, "closing")
+	case e.Reason == Evicted:
+		p.shut(m, evicting, "evicting")
 	}
 	c.left = append(c.left, m)
 	if e.Over || placed || c.closed {
@@ -493,6 +494,14 @@
 	p.place(c)
 }
 
+// shut keeps a machine out of every draw for a while, on its own word.
+func (p *Placer) shut(m *machine, span Time, why string) {
+	if p.now >= m.shutUntil {
+		p.log("machine %s %s: out %d ms", m.id, why, span/Millisecond)
+	}
+	m.shutUntil = max(m.shutUntil, p.now+span)
+}
+
 // judge is the sequential test on a machine's outcomes: each moves the log odds of its being sick, never
 // below even, and past sickAt it leaves the draw. A refusal is an answer and speaks for the machine.
 func (p *Placer) judge(m *machine, failed bool) {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -215,6 +215,10 @@
 			tookOver(p, "o1", "o", "a")
 			p.Handle(p.now, []Event{Ended{ID: "o1", Over: true, Outcome: Reset, Reason: SentAway}})
 		}, "bcd"},
+		{"evicted a container", func(p *Placer) {
+			tookOver(p, "o1", "o", "a")
+			p.Handle(p.now, []Event{Ended{ID: "o1", Over: true, Outcome: Reset, Reason: Evicted}})
+		}, "bcd"},
 		{"not here", func(p *Placer) {
 			ask(p, p.now, "o1", "o")
 			p.move("o1", "a")
