Customers beyond their part of all shares yield first while the fleet is over-asked

The part is measured on own containers against all shares, so a placer of one customer does not hold it against that customer.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -45,6 +45,7 @@
 	services   map[string]*service
 	containers map[ContainerID]*container
 	starts     []startTimes // by workload
+	held       []float64    // cores asked by own containers, by customer
 	full       float64      // moving share of bids that found no room, and what they would have gained
 	missed     float64
 	trustAll   bool // too many look sick: the test is not heeded
@@ -105,7 +106,7 @@
 func New(t Terms) *Placer {
 	return &Placer{terms: t, rng: pcg{t.Seed}, machines: map[MachineID]*machine{},
 		services: map[string]*service{}, containers: map[ContainerID]*container{},
-		starts: make([]startTimes, len(t.Workloads)), began: -1}
+		starts: make([]startTimes, len(t.Workloads)), held: make([]float64, len(t.Customers)), began: -1}
 }
 
 // Handle takes what happened by now and returns what is to be done.
@@ -220,6 +221,7 @@
 	c.at, c.sentAt, c.used = m, p.now, room{c.ask.Cores, c.ask.Memory}
 	c.service.held[m]++
 	m.held++
+	p.count(c, 1)
 	m.asked.add(c.used, 1)
 	m.used.add(c.used, 1)
 }
@@ -230,6 +232,7 @@
 		delete(c.service.held, m)
 	}
 	m.held--
+	p.count(c, -1)
 	m.asked.add(room{c.ask.Cores, c.ask.Memory}, -1)
 	m.used.add(c.used, -1)
 	if m.held == 0 {
@@ -238,6 +241,12 @@
 	c.at = nil
 }
 
+func (p *Placer) count(c *container, sign float64) {
+	if i := c.ask.Customer; i < len(p.held) {
+		p.held[i] += sign * c.ask.Cores
+	}
+}
+
 func (r *room) add(o room, sign float64) {
 	r.cores += sign * o.cores
 	r.memory += sign * o.memory
@@ -275,7 +284,24 @@
 // yields tells whether a container makes way for others: while more than overAsked of the bids find no room, by
 // chance, the more so the fuller the fleet and the less it gains than those that found none.
 func (p *Placer) yields(c *container) bool {
-	return p.full > overAsked && p.rng.float() < yieldPace*p.full*(1-c.workload.Gain*p.full/p.missed)
+	return p.full > overAsked && p.rng.float() < yieldPace*p.full*(1-p.gain(c)*p.full/p.missed)
+}
+
+// gain is what a container earns at its customer's standing: little for what a customer holds here beyond its
+// part of all shares, measured on what this placer's own containers ask.
+func (p *Placer) gain(c *container) float64 {
+	g := c.workload.Gain
+	if i := c.ask.Customer; i < len(p.held) && p.held[i] > 0 {
+		var quota, held float64
+		for k, t := range p.terms.Customers {
+			quota += t.Cores
+			held += p.held[k]
+		}
+		if r := p.terms.Customers[i].Cores / quota / (p.held[i] / held); quota > 0 && r < 1 {
+			g *= r + (1-r)*p.terms.OverShare
+		}
+	}
+	return g
 }
 
 // answer ends a container: a pushback where a repeat does no harm, else a give-up.
@@ -461,7 +487,7 @@
 		m.heardAt = p.now
 		if e.Reason == NoCores || e.Reason == NoMemory {
 			p.full += (1 - p.full) / 32
-			p.missed += (c.workload.Gain - p.missed) / 32
+			p.missed += (p.gain(c) - p.missed) / 32
 		}
 		p.judge(m, false)
 	case NoConnect:
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -397,29 +397,33 @@
 	}
 }
 
-// While bids find no room, low gain yields to high gain; with room it does not.
+// While bids find no room, low gain yields to high gain, and a customer beyond its share to the others.
 func TestYield(t *testing.T) {
 	for _, tc := range []struct {
-		name     string
-		full     float64
-		workload int
-		least    int
-		most     int
+		name        string
+		full        float64
+		workload    int
+		customer    int
+		least, most int
 	}{
-		{"room, low gain", 0.1, 0, 0, 0},
-		{"full, low gain", 0.35, 0, 620, 780},
-		{"full, best gain", 0.9, 1, 0, 0},
+		{"room, low gain", 0.1, 0, 0, 0, 0},
+		{"full, low gain", 0.35, 0, 0, 620, 780},
+		{"full, best gain", 0.9, 1, 0, 0, 0},
+		{"full, best gain, beyond its share", 0.35, 1, 1, 400, 700},
+		{"room, beyond its share", 0.1, 1, 1, 0, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			tm := terms(Reissuable)
 			tm.Workloads = append(tm.Workloads, tm.Workloads[0])
 			tm.Workloads[1].Gain = 2 * tm.Workloads[0].Gain
+			tm.Customers = []Customer{{Cores: 50}, {Cores: 50}}
 			p, n := fleet(tm), 0
-			p.full, p.missed = tc.full, tc.full*tm.Workloads[1].Gain
 			for i := 0; i < 1000; i++ {
+				p.held[0], p.held[1] = 20, 80
+				p.full, p.missed = tc.full, tc.full*tm.Workloads[1].Gain
 				id := ContainerID(fmt.Sprint(i))
 				acts := p.Handle(0, []Event{Asked{Ask{ID: id, Service: "s", Workload: tc.workload,
-					Cores: 1, Memory: 1, Due: 5 * Second}}})
+					Customer: tc.customer, Cores: 1, Memory: 1, Due: 5 * Second}}})
 				if _, ok := last(acts).(PushBack); ok {
 					n++
 				}
