--- a/placer/placer.go
+++ b/placer/placer.go
@@ -25,6 +25,7 @@
 	overAsked  = 0.3        // share of bids without room from which low gain yields
 	closing    = 5 * Second // a machine that closes down stays out so long after its last word of it
 	evicting   = Second     // likewise one that evicts for memory
+	large      = 3          // times the mean size
 	yieldPace  = 4          // of full share and missing gain: half the gain at a quarter full yields every second time
 	sweepEvery = Second / 4
 	overdueAt  = Second / 2 // a bid so old on a machine not heard of since calls for a probe
@@ -287,6 +288,11 @@
 	return p.full > overAsked && p.rng.float() < yieldPace*p.full*(1-p.gain(c)*p.full/p.missed)
 }
 
+// large tells whether a container is so big that finding no room for it does not speak of a full fleet.
+func (p *Placer) large(c *container) bool {
+	return c.ask.Cores > large*p.terms.MeanCores || c.ask.Memory > large*p.terms.MeanMemory
+}
+
 // gain is what a container earns at its customer's standing: little for what a customer holds here beyond its
 // part of all shares, measured on what this placer's own containers ask.
 func (p *Placer) gain(c *container) float64 {
@@ -445,8 +451,10 @@
 		return
 	}
 	c.placed, c.at.heardAt = true, p.now
-	p.full -= p.full / 32
-	p.missed -= p.missed / 32
+	if !p.large(c) {
+		p.full -= p.full / 32
+		p.missed -= p.missed / 32
+	}
 	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
 	if s.mean == 0 {
 		s.mean, s.dev = took, took/2
@@ -485,7 +493,7 @@
 	switch e.Outcome {
 	case Full:
 		m.heardAt = p.now
-		if e.Reason == NoCores || e.Reason == NoMemory {
+		if (e.Reason == NoCores || e.Reason == NoMemory) && !p.large(c) {
 			p.full += (1 - p.full) / 32
 			p.missed += (p.gain(c) - p.missed) / 32
 		}
