--- a/placer/placer.go
+++ b/placer/placer.go
@@ -288,9 +288,15 @@
 	return p.full > overAsked && p.rng.float() < yieldPace*p.full*(1-p.gain(c)*p.full/p.missed)
 }
 
-// large tells whether a container is so big that finding no room for it does not speak of a full fleet.
-func (p *Placer) large(c *container) bool {
-	return c.ask.Cores > large*p.terms.MeanCores || c.ask.Memory > large*p.terms.MeanMemory
+// speaks tells whether finding room or none for a container tells of the fleet: a large one finds none on a
+// fleet with room for many others, and counts only where nothing gains more.
+func (p *Placer) speaks(c *container) bool {
+	for _, w := range p.terms.Workloads {
+		if w.Gain > c.workload.Gain {
+			return c.ask.Cores <= large*p.terms.MeanCores && c.ask.Memory <= large*p.terms.MeanMemory
+		}
+	}
+	return true
 }
 
 // gain is what a container earns at its customer's standing: little for what a customer holds here beyond its
@@ -451,7 +457,7 @@
 		return
 	}
 	c.placed, c.at.heardAt = true, p.now
-	if !p.large(c) {
+	if p.speaks(c) {
 		p.full -= p.full / 32
 		p.missed -= p.missed / 32
 	}
@@ -493,7 +499,7 @@
 	switch e.Outcome {
 	case Full:
 		m.heardAt = p.now
-		if (e.Reason == NoCores || e.Reason == NoMemory) && !p.large(c) {
+		if (e.Reason == NoCores || e.Reason == NoMemory) && p.speaks(c) {
 			p.full += (1 - p.full) / 32
 			p.missed += (p.gain(c) - p.missed) / 32
 		}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -408,14 +408,19 @@
 	}
 }
 
-// A large container that finds no room does not speak of a full fleet; a small one does.
+// A large container that finds no room does not speak of a full fleet, unless nothing gains more.
 func TestFullFleet(t *testing.T) {
-	for cores, full := range map[float64]bool{1: true, 5: false} {
-		t.Run(fmt.Sprint(cores, " cores"), func(t *testing.T) {
-			p := fleet(terms(Reissuable))
-			p.Handle(0, []Event{Asked{Ask{ID: "x", Service: "s", Cores: cores, Memory: 1, Due: Second}},
+	for _, tc := range []struct {
+		cores, other float64
+		full         bool
+	}{{1, 2, true}, {5, 2, false}, {5, 0.5, true}} {
+		t.Run(fmt.Sprintf("%g cores, others gain %g", tc.cores, tc.other), func(t *testing.T) {
+			tm := terms(Reissuable)
+			tm.Workloads = append(tm.Workloads, Workload{Gain: tc.other})
+			p := fleet(tm)
+			p.Handle(0, []Event{Asked{Ask{ID: "x", Service: "s", Cores: tc.cores, Memory: 1, Due: Second}},
 				Ended{ID: "x", Outcome: Full, Reason: NoCores}})
-			if (p.full > 0) != full {
+			if (p.full > 0) != tc.full {
 				t.Errorf("full share %.2f", p.full)
 			}
 		})
