A yes that crosses a withdrawal leaves its answer owed; no answer hangs on an outcome that fails to come

An outcome closes a container only where it says so, and a timer answers what is past its hard stop.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -99,6 +99,7 @@
 		MayProbe:     s.flag("permissions.probes"),
 		MayWithdraw:  s.flag("permissions.cancel"),
 		MostBids:     s.count("permissions.max_attempts"),
+		AnswerGrace:  s.span("rules.grace_to_answer_ms"),
 		ListOnAsk:    s.choice("registry_mode", "pushed", "on_request") == 1,
 		ColdFor:      s.span("rules.cold_ms"),
 		ColdFrom:     s.number("rules.cold_from"),
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -14,7 +14,7 @@
 	" family_info.unit_cores=0.96 family_info.unit_memory=1.73 family_info.yes_at=running" +
 	" family_info.use_notes=false family_info.view=true permissions.probes=true permissions.cancel=true" +
 	" permissions.max_attempts=4 registry_mode=on_request rules.ask_every_ms=10000.0 rules.cold_ms=17000.0" +
-	" rules.cold_from=0.28 rules.overload_for_ms=3000.0 family_info.fresh_offers=103.0" +
+	" rules.grace_to_answer_ms=8.0 rules.cold_from=0.28 rules.overload_for_ms=3000.0 family_info.fresh_offers=103.0" +
 	" family_info.cpu_of_kind=26,41 family_info.kind_memory=59.0,71.0 family_info.class_kind=-1,1" +
 	" family_info.class_most=2,3 family_info.precedence=0,1 family_info.spread_over=silent,cell" +
 	" classes.count=2 classes.0.effect=safe classes.0.aim_ms=700.0 classes.0.deadline_ms=6000.0" +
--- a/placer/api.go
+++ b/placer/api.go
@@ -68,6 +68,7 @@
 	MayProbe     bool
 	MayWithdraw  bool
 	MostBids     int
+	AnswerGrace  Time // after the hard stop, in which an answer is still in time
 	ListOnAsk    bool // the list must be watched
 	AskWithin    Time
 	ColdFor      Time // a machine that came up is warm after this
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -145,7 +145,10 @@
 		case Probed:
 			p.probed(e)
 		case Woke:
-			p.sweep()
+			if e.Name == "sweep" {
+				p.sweep()
+			}
+			p.overdue()
 		}
 	}
 	return p.out
@@ -319,6 +322,9 @@
 // answer ends a container: a pushback where a repeat does no harm, else a give-up.
 func (p *Placer) answer(c *container) {
 	w := c.workload
+	if c.at != nil && c.ranAt == nil {
+		c.ranAt = c.at
+	}
 	if c.ranAt == nil || w.Effect == Reissuable || w.Effect == Numbered && w.Repeats == Everywhere {
 		p.do(PushBack{ID: c.ask.ID})
 	} else {
@@ -494,6 +500,7 @@
 		return
 	}
 	m, placed := c.at, c.placed
+	c.placed = false
 	silent := m.heardAt < c.sentAt
 	p.release(c)
 	switch e.Outcome {
@@ -526,7 +533,7 @@
 		p.shut(m, evicting, "evicting")
 	}
 	c.left = append(c.left, m)
-	if e.Over || placed || c.closed {
+	if e.Over || c.closed { // a yes that crossed a withdrawal is not over: its answer is still owed
 		c.closed = true
 		p.forget(c)
 		return
@@ -653,6 +660,30 @@
 	}
 }
 
+// overdue answers containers whose bid has no outcome though their hard stop is past: no answer hangs on a
+// message that may be late or lost. It never acts while time-outs come when they should. The timer is set for
+// the first such container; those behind it set it anew.
+func (p *Placer) overdue() {
+	var past []*container
+	next := Time(0)
+	for _, c := range p.containers {
+		switch d := c.ask.Due + p.terms.AnswerGrace/2; {
+		case c.closed || c.placed || d > p.now+sweepEvery:
+		case d <= p.now:
+			past = append(past, c)
+		case next == 0 || d < next:
+			next = d
+		}
+	}
+	if next > 0 {
+		p.do(Wake{next - p.now, "due"})
+	}
+	sort.Slice(past, func(i, j int) bool { return past[i].ask.ID < past[j].ask.ID })
+	for _, c := range past {
+		p.answer(c)
+	}
+}
+
 // pcg is a permuted congruential generator of 64 bits of state (RXS M XS).
 type pcg struct{ state uint64 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -138,6 +138,8 @@
 		{"placed, then lost", []Event{Placed{ID: "x"}, Ended{ID: "x", Over: true, Outcome: Reset}}, 0, 0},
 		{"every machine full", []Event{Ended{ID: "x", Outcome: Full}, Ended{ID: "x", Outcome: Full},
 			Ended{ID: "x", Outcome: Full}, Ended{ID: "x", Outcome: Full}}, 4, 0},
+		{"yes crossed by a withdrawal", []Event{Placed{ID: "x"}, Ended{ID: "x", Outcome: Stopped}}, 1, 2},
+		{"no outcome at the hard stop", []Event{Woke{"sweep"}, Woke{"due"}}, 1, 2},
 		{"unknown to us", []Event{Noted{ID: "y"}, Ended{ID: "y"}, Placed{ID: "y"}, Vanished{"y"}}, 0, 2},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -145,8 +147,13 @@
 			ask(p, 0, "x", "s")
 			n := 0
 			for i, e := range tc.events {
-				for _, a := range p.Handle(Time(i+1), []Event{e}) {
-					if _, ok := a.(Log); !ok {
+				now := Time(i + 1)
+				if (e == Event(Woke{"due"})) {
+					now += 6 * Second
+				}
+				for _, a := range p.Handle(now, []Event{e}) {
+					switch a.(type) {
+					case Bid, PushBack, GiveUp, Withdraw, Move:
 						n++
 					}
 				}
