--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -102,7 +102,6 @@
 		AnswerGrace:  s.span("rules.grace_to_answer_ms"),
 		ListOnAsk:    s.choice("registry_mode", "pushed", "on_request") == 1,
 		ColdFor:      s.span("rules.cold_ms"),
-		ColdFrom:     s.number("rules.cold_from"),
 		ColdWindow:   s.span("rules.overload_for_ms"),
 		ColdBids:     int(s.number("family_info.fresh_offers")),
 	}
@@ -125,7 +124,7 @@
 		return t, s.fault
 	}
 	kinds, most := s.numbers("family_info.class_kind", n), s.numbers("family_info.class_most", n)
-	priority, spread := s.numbers("family_info.precedence", n), s.list("family_info.spread_over")
+	spread := s.list("family_info.spread_over")
 	if len(spread) != n && s.fault == nil {
 		s.fault = fmt.Errorf("setting family_info.spread_over has %d values, not %d", len(spread), n)
 	}
@@ -140,7 +139,6 @@
 			Gain:     s.number(at + "credit"),
 			Kind:     int(kinds[i]),
 			Most:     int(most[i]),
-			Priority: int(priority[i]),
 		}
 		if w.Effect == placer.Numbered {
 			w.Window = s.span(at + "window_ms")
@@ -164,13 +162,10 @@
 		if s.fault != nil {
 			return t, s.fault
 		}
-		quotas := make([]float64, n)
 		if _, ok := s.pairs["family_info.quota_cores"]; ok {
-			quotas = s.numbers("family_info.quota_cores", n)
-		}
-		for i := 0; i < n && s.fault == nil; i++ {
-			rate := s.number(fmt.Sprintf("tenants.%d.allowance_per_s", i))
-			t.Customers = append(t.Customers, placer.Customer{PerSecond: rate, Cores: quotas[i]})
+			for _, cores := range s.numbers("family_info.quota_cores", n) {
+				t.Customers = append(t.Customers, placer.Customer{Cores: cores})
+			}
 		}
 	}
 	return t, s.fault
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	want := placer.Workload{Effect: placer.Numbered, Repeats: placer.OneZone, Window: 80000, Agreed: 7000,
-		HardStop: 60000, Kind: 1, Spread: placer.OneCell, Most: 3, Gain: 2, Priority: 1}
+		HardStop: 60000, Kind: 1, Spread: placer.OneCell, Most: 3, Gain: 2}
 	if s := got[0].Start; s.Seed != 51 || s.Placers != 3 || s.Workloads[1] != want || s.Kinds[1].Memory != 71 {
 		t.Errorf("got %+v", s)
 	}
--- a/placer/api.go
+++ b/placer/api.go
@@ -40,14 +40,13 @@
 	Spread   Place
 	Most     int // containers of a service in one such place
 	Gain     float64
-	Priority int
 }
 
 // Kind is a sort of machine.
 type Kind struct{ Cores, Memory float64 }
 
-// Customer has a share of the fleet.
-type Customer struct{ PerSecond, Cores float64 }
+// Customer has a share of the fleet, in cores asked of all placers.
+type Customer struct{ Cores float64 }
 
 // Terms are what a placer is told when it starts.
 type Terms struct {
@@ -72,7 +71,6 @@
 	ListOnAsk    bool // the list must be watched
 	AskWithin    Time
 	ColdFor      Time // a machine that came up is warm after this
-	ColdFrom     float64
 	ColdWindow   Time
 	ColdBids     int // bids in a window that a cold machine always bears, from all placers
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,7 +26,7 @@
 	closing    = 5 * Second // a machine that closes down stays out so long after its last word of it
 	evicting   = Second     // likewise one that evicts for memory
 	large      = 3          // times the mean size
-	yieldPace  = 4          // of full share and missing gain: half the gain at a quarter full yields every second time
+	yieldPace  = 4          // half the gain on a fleet a quarter full yields every second time
 	sweepEvery = Second / 4
 	overdueAt  = Second / 2 // a bid so old on a machine not heard of since calls for a probe
 	askAgain   = Second     // after a failed list call; doubled up to askAtMost
@@ -52,6 +52,7 @@
 	trustAll   bool // too many look sick: the test is not heeded
 	watchAt    Time // when the list is to be asked for again; 0: not due
 	watchPause Time
+	dueAt      Time // the timer set last for a hard stop
 }
 
 type machine struct {
@@ -192,6 +193,7 @@
 		m := p.machine(l.Machine)
 		if m.started != l.StartedAt || !m.listed {
 			m.started, m.sick, m.restUntil, m.rest = l.StartedAt, 0, 0, restAtFirst
+			m.shutUntil, m.probing = 0, false
 		}
 		m.listed, m.zone, m.cell, m.kind, m.state = true, l.Zone, l.Cell, l.Kind, l.State
 		k := p.terms.Kinds[l.Kind]
@@ -285,8 +287,8 @@
 	p.do(Bid{c.ask.ID, m.id, p.patience(c)})
 }
 
-// yields tells whether a container makes way for others: while more than overAsked of the bids find no room, by
-// chance, the more so the fuller the fleet and the less it gains than those that found none.
+// yields tells whether a container makes way for others: while more than overAsked of the bids find no room,
+// by chance, the more so the fuller the fleet and the less it gains than those that found none.
 func (p *Placer) yields(c *container) bool {
 	return p.full > overAsked && p.rng.float() < yieldPace*p.full*(1-p.gain(c)*p.full/p.missed)
 }
@@ -353,8 +355,8 @@
 	return best
 }
 
-// honored is the contract less the extraneous load: what own containers are told to use beyond what the
-// machine was asked for, the others' taken to use their asks in the same measure as ours.
+// honored is the contract less the extraneous load: what own containers are told to use beyond all that the
+// machine was asked for.
 func (p *Placer) honored(m *machine) float64 {
 	load := 0.0
 	if t := &p.terms; t.UseNotes && t.ListedAsks {
@@ -576,9 +578,8 @@
 	}
 	var waiting []*container
 	for _, c := range p.containers {
-		w := c.workload
 		if c.at == m && !c.placed && !c.closed && c.bids < p.terms.MostBids &&
-			(w.Effect == Reissuable || w.Effect == Numbered && w.Repeats != OneMachine) {
+			c.workload.Effect != AtMostOnce {
 			waiting = append(waiting, c)
 		}
 	}
@@ -675,7 +676,8 @@
 			next = d
 		}
 	}
-	if next > 0 {
+	if next > 0 && next != p.dueAt {
+		p.dueAt = next
 		p.do(Wake{next - p.now, "due"})
 	}
 	sort.Slice(past, func(i, j int) bool { return past[i].ask.ID < past[j].ask.ID })
