--- a/placer/placer.go
+++ b/placer/placer.go
@@ -27,6 +27,7 @@
 	shunFades = 20 * Second // the evidence falls to 1/e in that time
 
 	overAsked  = 0.3        // share of bids without room from which low gain yields
+	cameAgain  = 0.5        // of its gain is left to a container that came before
 	closing    = 5 * Second // a machine that closes down stays out so long after its last word of it
 	evicting   = Second     // likewise one that evicts for memory
 	large      = 3          // times the mean size
@@ -329,10 +330,13 @@
 	return true
 }
 
-// gain is what a container earns at its customer's standing: little for what a customer holds here beyond its
-// part of all shares, measured on what this placer's own containers ask.
+// gain is what a container earns: less if it came before, as its start in time is gone, and little for what
+// its customer holds here beyond its part of all shares, measured on what this placer's own containers ask.
 func (p *Placer) gain(c *container) float64 {
 	g := c.workload.Gain
+	if c.ask.Again {
+		g *= cameAgain
+	}
 	if i := c.ask.Customer; i < len(p.held) && p.held[i] > 0 {
 		var quota, held float64
 		for k, t := range p.terms.Customers {
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -385,13 +385,16 @@
 		full        float64
 		workload    int
 		customer    int
+		again       bool
 		least, most int
 	}{
-		{"room, low gain", 0.1, 0, 0, 0, 0},
-		{"full, low gain", 0.35, 0, 0, 620, 780},
-		{"full, best gain", 0.9, 1, 0, 0, 0},
-		{"full, best gain, beyond its share", 0.35, 1, 1, 400, 700},
-		{"room, beyond its share", 0.1, 1, 1, 0, 0},
+		{"room, low gain", 0.1, 0, 0, false, 0, 0},
+		{"full, low gain", 0.35, 0, 0, false, 620, 780},
+		{"full, best gain", 0.9, 1, 0, false, 0, 0},
+		{"full, best gain, came before", 0.35, 1, 0, true, 620, 780},
+		{"full, best gain, beyond its share", 0.35, 1, 1, false, 400, 700},
+		{"room, beyond its share", 0.1, 1, 1, false, 0, 0},
+		{"room, came before", 0.1, 1, 0, true, 0, 0},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			tm := terms(Reissuable)
@@ -404,7 +407,7 @@
 				p.full, p.missed = tc.full, tc.full*tm.Workloads[1].Gain
 				id := ContainerID(fmt.Sprint(i))
 				acts := p.Handle(0, []Event{Asked{Ask{ID: id, Service: "s", Workload: tc.workload,
-					Customer: tc.customer, Cores: 1, Memory: 1, Due: 5 * Second}}})
+					Customer: tc.customer, Again: tc.again, Cores: 1, Memory: 1, Due: 5 * Second}}})
 				if _, ok := last(acts).(PushBack); ok {
 					n++
 				}
