--- a/placer/placer.go
+++ b/placer/placer.go
@@ -33,10 +33,9 @@
 	large      = 3          // times the mean size
 	yieldPace  = 4          // half the gain on a fleet a quarter full yields every second time
 	sweepEvery = Second / 4
-	overdueAt  = Second / 2 // a bid so old on a machine not heard of since calls for a probe
-	askAgain   = Second     // after a failed list call; doubled up to askAtMost
-	askAtMost  = 4 * Second
-	edge       = 2 * Millisecond // kept from every time that a rule names
+	overdueAt  = Second / 2        // a bid so old on a machine not heard of since calls for a probe
+	askTurn    = 100 * Millisecond // of the list's time for each placer: first calls spread over all turns
+	edge       = 2 * Millisecond   // kept from every time that a rule names
 )
 
 // Placer is one instance. Machines are dropped once gone and empty, services and containers with
@@ -140,9 +139,10 @@
 	p.now, p.out = now, nil
 	if p.began < 0 {
 		p.began = now
-		p.do(Wake{sweepEvery, "sweep"})
+		p.do(Wake{p.within(sweepEvery), "sweep"})
+		p.watchPause = min(askTurn*Time(max(1, p.terms.Placers)), p.terms.AskWithin/2)
 		if p.terms.ListOnAsk {
-			p.do(Watch{true})
+			p.watchAt = now + p.within(p.watchPause)
 		}
 	}
 	for _, e := range events {
@@ -198,16 +198,22 @@
 	return m
 }
 
+// within is a moment in a span by chance, so that placers that start or fail together do not act together.
+func (p *Placer) within(span Time) Time { return Millisecond + Time(float64(span)*p.rng.float()) }
+
 // learn applies a list. A failed call leaves the old list in force and is repeated, since the notice does
-// not say whether the watch stands.
+// not say whether the watch stands. One service answers all placers, and turns calls away when too many
+// wait: so each comes at a moment of its own, over twice the span after each failure. That also guards a list
+// service that returns after it was away. Harm: a lone placer hears a little later.
 func (p *Placer) learn(e ListCame) {
 	if e.Mode == ListFailed {
-		p.watchPause = min(max(2*p.watchPause, askAgain), askAtMost, p.terms.AskWithin/2)
-		p.watchAt = p.now + p.watchPause
+		p.watchAt = p.now + p.within(p.watchPause)
+		p.watchPause = min(2*p.watchPause, p.terms.AskWithin)
 		return
 	}
 	if e.Mode != OldList {
-		p.watchAt, p.watchPause = 0, 0
+		p.watchAt = 0
+		p.watchPause = min(askTurn*Time(max(1, p.terms.Placers)), p.terms.AskWithin/2)
 	}
 	if e.Mode != Changes {
 		for _, m := range p.order {
