--- a/placer/placer.go
+++ b/placer/placer.go
@@ -20,7 +20,7 @@
 	sickAt      = 4.6  // log odds at which it is taken out
 	restAtFirst = 2 * Second
 	restAtMost  = 8 * Second
-	mostOut     = 0.5 // of all contracts: with more looking sick, the fault is not the machines'
+	lastResort  = 2 // misgivings about a machine that looks sick
 
 	shunOdds  = 0.85        // a machine that shuns a workload or customer loses so many of its bids,
 	leastLost = 0.02        // one that does not, at least so many
@@ -54,7 +54,6 @@
 	traits     []trait      // the workloads, then the customers, then no customer
 	full       float64      // moving share of bids that found no room, and what they would have gained
 	missed     float64
-	trustAll   bool // too many look sick: the test is not heeded
 	watchAt    Time // when the list is to be asked for again; 0: not due
 	watchPause Time
 	dueAt      Time // the timer set last for a hard stop
@@ -238,7 +237,6 @@
 			p.order = append(p.order[:i], p.order[i+1:]...)
 		}
 	}
-	p.weighTrust()
 }
 
 // take notes a container and its service.
@@ -377,27 +375,37 @@
 // machines, which hold their program, whichever placer sends them; no weight follows placement.
 func (p *Placer) draw(c *container) *machine {
 	lot := c.service.hash + p.rng.next()%lots
-	var best, shunned *machine
-	least, leastShunned := math.Inf(1), math.Inf(1)
+	var best *machine
+	least, rank := math.Inf(1), lastResort+1
 	for _, m := range p.order {
-		if !p.mayBid(c, m) {
+		r := p.misgivings(c, m)
+		if r > rank || !p.mayBid(c, m) {
 			continue
 		}
-		x := pcg{mix(lot) ^ m.hash}
-		switch at := -math.Log(1-x.float()) / p.honored(m); {
-		case at >= least:
-		case !p.shuns(m, c):
-			best, least = m, at
-		case at < leastShunned:
-			shunned, leastShunned = m, at
+		x, weight := pcg{mix(lot) ^ m.hash}, p.honored(m)
+		if share := p.coldShare(m); share < 1 {
+			x, weight = pcg{mix(c.service.hash) ^ m.hash}, weight/share
+		}
+		if at := -math.Log(1-x.float()) / weight; r < rank || at < least {
+			best, least, rank = m, at, r
 		}
-	}
-	if best == nil {
-		return shunned
 	}
 	return best
 }
 
+// misgivings are the two tests' verdicts: the draw is among the machines with the least of them. So one that
+// looks sick, or shuns the container, is drawn only where no other may be: with all of them looking sick the
+// fault is this placer's own link or list, and an empty draw would help nobody.
+func (p *Placer) misgivings(c *container, m *machine) int {
+	switch {
+	case m.restUntil > 0:
+		return lastResort
+	case p.shuns(m, c):
+		return lastResort - 1
+	}
+	return 0
+}
+
 // honored is the contract less the extraneous load: what own containers are told to use beyond all that the
 // machine was asked for.
 func (p *Placer) honored(m *machine) float64 {
@@ -424,7 +432,7 @@
 			return false
 		}
 	}
-	if m.restUntil > 0 && !p.trustAll || p.now < m.shutUntil {
+	if p.now < m.shutUntil {
 		return false
 	}
 	if c.ranAt != nil {
@@ -472,6 +480,16 @@
 	return m.started > 0 && p.now < m.started+p.terms.ColdFor
 }
 
+// coldShare is the part of all placers that may send to a cold machine in a window, where its budget does not
+// reach all of them. Theirs are then the odds of the rest too: over all placers a new machine is drawn as
+// often as a warm one, in place of hardly ever. It has one lot, to keep the few programs it gets.
+func (p *Placer) coldShare(m *machine) float64 {
+	if p.terms.ColdBids >= p.terms.Placers || !p.isCold(m) {
+		return 1
+	}
+	return float64(max(1, p.terms.ColdBids)) / float64(p.terms.Placers)
+}
+
 // coldBears keeps to this placer's part of what a cold machine bears from all of them; what does not divide
 // goes to other placers at each machine. For a window after its own start a placer does not know what it
 // sent in an earlier life, and sends nothing.
@@ -615,14 +633,13 @@
 		m.restUntil = p.now + m.rest
 		m.rest = min(2*m.rest, restAtMost)
 		p.log("machine %s out: log odds %.1f", m.id, m.sick)
-		p.weighTrust()
 		p.withdraw(m)
 	}
 }
 
 // withdraw takes back the bids that wait on a machine just taken out, where the container may go elsewhere.
 func (p *Placer) withdraw(m *machine) {
-	if p.trustAll || !p.terms.MayWithdraw {
+	if !p.terms.MayWithdraw {
 		return
 	}
 	var waiting []*container
@@ -697,23 +714,6 @@
 	return false
 }
 
-// weighTrust stops heeding the test when most of the fleet looks sick: then the fault is this placer's own
-// link or list, and an empty draw would help nobody.
-func (p *Placer) weighTrust() {
-	var all, out float64
-	for _, m := range p.order {
-		if m.state == Serving {
-			if all += m.contract; m.restUntil > 0 {
-				out += m.contract
-			}
-		}
-	}
-	if trust := out > mostOut*all; trust != p.trustAll {
-		p.trustAll = trust
-		p.log("trust all %t: out %.0f of %.0f", trust, out, all)
-	}
-}
-
 // probed lets a machine that answers come back on trial: one more failure takes it out.
 func (p *Placer) probed(e Probed) {
 	m := p.machines[e.Machine]
@@ -737,7 +737,6 @@
 func (p *Placer) readmit(m *machine) {
 	m.restUntil, m.sick = 0, sickAt-1
 	p.log("machine %s back on trial", m.id)
-	p.weighTrust()
 }
 
 // sweep is the timer's work: the list that must be asked for, and machines whose rest is over.
