--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -32,6 +32,15 @@
 	return f
 }
 
+// size is a number above 0.
+func (s *startup) size(path string) float64 {
+	f := s.number(path)
+	if f <= 0 && s.fault == nil {
+		s.fault = fmt.Errorf("setting %s=%q is not above 0", path, s.pairs[path])
+	}
+	return f
+}
+
 func (s *startup) count(path string) int {
 	n, err := strconv.Atoi(s.text(path))
 	if (err != nil || n < 0 || n > 10_000_000) && s.fault == nil {
@@ -91,13 +100,12 @@
 		Placers:      s.count("balancers"),
 		AcceptCores:  s.number("family_info.admit_cores"),
 		AcceptMemory: s.number("family_info.mem_booking"),
-		MeanCores:    s.number("family_info.unit_cores"),
-		MeanMemory:   s.number("family_info.unit_memory"),
+		MeanCores:    s.size("family_info.unit_cores"),
+		MeanMemory:   s.size("family_info.unit_memory"),
 		YesRuns:      s.choice("family_info.yes_at", "accepted", "running") == 1,
 		UseNotes:     s.flag("family_info.use_notes"),
 		ListedAsks:   s.flag("family_info.view"),
 		MayProbe:     s.flag("permissions.probes"),
-		MayWithdraw:  s.flag("permissions.cancel"),
 		MostBids:     s.count("permissions.max_attempts"),
 		AnswerGrace:  s.span("rules.grace_to_answer_ms"),
 		ListOnAsk:    s.choice("registry_mode", "pushed", "on_request") == 1,
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -105,6 +105,9 @@
 		{"cut frame", "FRAME 1 1\nVANISHED 3 r-1\n", "input ends inside a frame"},
 		{"setting missing", frame("CONFIGURE 3 51 me=0 balancers=3"), "is missing"},
 		{"setting odd", frame(strings.Replace(start, "safe", "sure", 1)), "is none of safe"},
+		{"setting without size", frame(strings.Replace(start, "unit_cores=0.96", "unit_cores=0", 1)), "is not above 0"},
+		{"placers below none", frame(strings.Replace(start, "balancers=3", "balancers=-3", 1)), "is no count"},
+		{"customer below none", frame("PENDING 3 r-1 -1 0 t:k 0 1 1 10 c:s -"), "no whole number from 0"},
 		{"setting short", frame(strings.Replace(start, "59.0,71.0", "59.0", 1)), "has 1 values, not 2"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/placer/api.go
+++ b/placer/api.go
@@ -65,7 +65,6 @@
 	UseNotes     bool // use of own containers is told
 	ListedAsks   bool // list entries tell the room that nobody has asked for
 	MayProbe     bool
-	MayWithdraw  bool
 	MostBids     int
 	AnswerGrace  Time // after the hard stop, in which an answer is still in time
 	ListOnAsk    bool // the list must be watched
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -149,12 +149,16 @@
 		case ListCame:
 			p.learn(e)
 		case Asked:
-			c := p.take(e.Ask)
-			p.place(c)
+			if c := p.take(e.Ask); c != nil {
+				p.place(c)
+			} else {
+				p.do(GiveUp{e.ID})
+			}
 		case TookOver:
-			c := p.take(e.Ask)
-			c.bids, c.placed = 1, true
-			p.hold(c, p.machine(e.Machine))
+			if c := p.take(e.Ask); c != nil {
+				c.bids, c.placed = 1, true
+				p.hold(c, p.machine(e.Machine))
+			}
 		case Placed:
 			p.confirm(e)
 		case Noted:
@@ -221,6 +225,11 @@
 	}
 	for _, l := range e.Entries {
 		m := p.machine(l.Machine)
+		if l.Kind >= len(p.terms.Kinds) {
+			p.log("machine %s is of unknown kind %d: not used", m.id, l.Kind)
+			m.state = Gone
+			continue
+		}
 		if m.started != l.StartedAt || !m.listed {
 			m.started, m.sick, m.restUntil, m.rest = l.StartedAt, 0, 0, restAtFirst
 			m.shutUntil, m.probing = 0, false
@@ -239,8 +248,12 @@
 	}
 }
 
-// take notes a container and its service.
+// take notes a container and its service; nil for one of a workload that the terms do not have.
 func (p *Placer) take(a Ask) *container {
+	if a.Workload >= len(p.terms.Workloads) {
+		p.log("container %s is of unknown workload %d", a.ID, a.Workload)
+		return nil
+	}
 	s := p.services[a.Service]
 	if s == nil {
 		s = &service{name: a.Service, hash: hash(a.Service), held: map[*machine]int{}}
@@ -421,7 +434,7 @@
 // mayBid holds the filters that come before the draw.
 func (p *Placer) mayBid(c *container, m *machine) bool {
 	w, t := c.workload, &p.terms
-	if m.state != Serving || w.Kind >= 0 && w.Kind != m.kind {
+	if m.state != Serving || m.contract <= 0 || w.Kind >= 0 && w.Kind != m.kind {
 		return false
 	}
 	if k := t.Kinds[m.kind]; c.ask.Cores > k.Cores*t.AcceptCores || c.ask.Memory > k.Memory*t.AcceptMemory {
@@ -633,25 +646,6 @@
 		m.restUntil = p.now + m.rest
 		m.rest = min(2*m.rest, restAtMost)
 		p.log("machine %s out: log odds %.1f", m.id, m.sick)
-		p.withdraw(m)
-	}
-}
-
-// withdraw takes back the bids that wait on a machine just taken out, where the container may go elsewhere.
-func (p *Placer) withdraw(m *machine) {
-	if !p.terms.MayWithdraw {
-		return
-	}
-	var waiting []*container
-	for _, c := range p.containers {
-		if c.at == m && !c.placed && !c.closed && c.bids < p.terms.MostBids &&
-			c.workload.Effect != AtMostOnce {
-			waiting = append(waiting, c)
-		}
-	}
-	sort.Slice(waiting, func(i, j int) bool { return waiting[i].ask.ID < waiting[j].ask.ID })
-	for _, c := range waiting {
-		p.do(Withdraw{c.ask.ID, c.bids - 1})
 	}
 }
 
