--- a/placer/placer.go
+++ b/placer/placer.go
@@ -17,7 +17,7 @@
 
 	sickOdds    = 0.6  // the test's two views of a machine: a sick one fails so many of its bids,
 	wellOdds    = 0.05 // a well one so many
-	sickAt      = 4.6  // log odds at which it is taken out
+	sickAt      = 4.6  // log odds at which it becomes a last resort
 	restAtFirst = 2 * Second
 	restAtMost  = 8 * Second
 	lastResort  = 2 // misgivings about a machine that looks sick
@@ -75,7 +75,7 @@
 	listAsks  room   // by everybody, as the list has it
 	coldBids  []Time // emptied as they leave the window
 	sick      float64
-	restUntil Time // out of the draw; 0: in
+	restUntil Time // a last resort until it answers a probe from then on; 0: it is not
 	rest      Time
 	probing   bool
 	heardAt   Time    // last sign of life
@@ -632,7 +632,7 @@
 }
 
 // judge is the sequential test on a machine's outcomes: each moves the log odds of its being sick, never
-// below even, and past sickAt it leaves the draw. A refusal is an answer and speaks for the machine.
+// below even, and past sickAt it is a last resort. A refusal is an answer and speaks for the machine.
 func (p *Placer) judge(m *machine, failed bool) {
 	if !failed {
 		m.sick = max(0, m.sick+math.Log((1-sickOdds)/(1-wellOdds)))
