The framed protocol of links: greeting, length, CBOR fields

Need: placers, machines, list and owners are to talk over TCP, and garbage on a link must never do more than close it.

CBOR by fxamacker/cbor in array form.

--- /dev/null
+++ b/internal/link/frames.go
@@ -0,0 +1,556 @@
+// Package link is the framed protocol between placers, machines, the list and owners. docs/protocol.md
+// describes it. A frame is a length of four bytes, the first most significant, a byte that tells its sort, and
+// a CBOR array of its fields. Spans are tenths of a millisecond; memory is in GiB.
+package link
+
+import (
+	"fmt"
+	"math"
+)
+
+// Version of the protocol; the two sides of a link must name the same.
+const Version = 1
+
+const magic = "glenport"
+
+// Role says who greets.
+type Role uint8
+
+const (
+	Placer Role = 1 + iota
+	Machine
+	List
+	Owner
+)
+
+func (r Role) String() string {
+	return nameOf([]string{"", "placer", "machine", "list", "owner"}, int(r))
+}
+
+// Span is in tenths of a millisecond.
+type Span int64
+
+// Outcome is how a bid or a container ended, as a machine or a placer tells it.
+type Outcome uint8
+
+const (
+	Finished Outcome = iota
+	Erred
+	Full
+	Stopped
+	Lost // its machine or the link to it
+	outcomes
+)
+
+func (o Outcome) String() string {
+	return nameOf([]string{"finished", "erred", "full", "stopped", "lost"}, int(o))
+}
+
+// Reason goes with an Outcome.
+type Reason uint8
+
+const (
+	NoReason Reason = iota
+	NoCores
+	NoMemory
+	LongQueue
+	NotHere
+	Evicted
+	PushedOut
+	SentAway
+	reasons
+)
+
+func (r Reason) String() string {
+	return nameOf([]string{"-", "no cores", "no memory", "long queue", "not here", "evicted", "pushed out",
+		"sent away"}, int(r))
+}
+
+// Verdict is a placer's one answer to an owner.
+type Verdict uint8
+
+const (
+	Placed Verdict = 1 + iota
+	PushedBack
+	GivenUp
+	TurnedAway // not taken at all; the text says why
+	verdicts
+)
+
+func (v Verdict) String() string {
+	return nameOf([]string{"", "placed", "pushed back", "given up", "turned away"}, int(v))
+}
+
+// State of a listed machine.
+type State uint8
+
+const (
+	Serving State = iota
+	Draining
+	Gone
+	states
+)
+
+func (s State) String() string { return nameOf([]string{"serving", "draining", "gone"}, int(s)) }
+
+func nameOf(names []string, i int) string {
+	if i < 0 || i >= len(names) {
+		return fmt.Sprintf("unknown %d", i)
+	}
+	return names[i]
+}
+
+// Frame is one message.
+type Frame interface {
+	sort() byte
+	check() error
+}
+
+type (
+	// Hello opens a link, from both sides, before anything else.
+	Hello struct {
+		_       struct{} `cbor:",toarray"`
+		Magic   string
+		Version uint
+		Role    Role
+		Name    string
+		Life    uint64 // grows with each start of that name
+	}
+
+	// Offer is a placer's bid at a machine. Bid numbers are unique in one life of a placer.
+	Offer struct {
+		_    struct{} `cbor:",toarray"`
+		Bid  uint64
+		Wait Span // it lapses when it has not started by then
+		Work Work
+	}
+
+	// Work describes a container. Window is above 0 for numbered work: repeats of Key are dropped so long.
+	Work struct {
+		_         struct{} `cbor:",toarray"`
+		Container string
+		Key       string
+		Service   string
+		Workload  int
+		Customer  int
+		Cores     float64
+		Memory    float64
+		Window    Span
+		RunFor    Span // 0: not told
+		Again     bool
+	}
+
+	// Yes answers an offer; Running tells whether it runs by now or was only accepted.
+	Yes struct {
+		_       struct{} `cbor:",toarray"`
+		Bid     uint64
+		Running bool
+	}
+
+	// Result ends a bid, before or after a Yes.
+	Result struct {
+		_       struct{} `cbor:",toarray"`
+		Bid     uint64
+		Outcome Outcome
+		Reason  Reason
+		Report  map[string]float64
+	}
+
+	// Note is news of a container that runs: 1 it runs, 2 cores, 3 memory used, 4 part of full service,
+	// 5 part of its machine's memory in use.
+	Note struct {
+		_      struct{} `cbor:",toarray"`
+		Bid    uint64
+		Sort   uint8
+		Amount float64
+	}
+
+	// Withdraw calls a bid off, whether it waits or runs; a Result of Stopped follows where there was one.
+	Withdraw struct {
+		_    struct{} `cbor:",toarray"`
+		Life uint64
+		Bid  uint64
+	}
+
+	Probe struct {
+		_   struct{} `cbor:",toarray"`
+		Seq uint64
+	}
+
+	Probed struct {
+		_      struct{} `cbor:",toarray"`
+		Seq    uint64
+		Report map[string]float64
+	}
+
+	// Holds follows a machine's Hello: what it holds for the placer that called, of all its lives.
+	Holds struct {
+		_           struct{} `cbor:",toarray"`
+		Incarnation uint64   // grows with each start of the machine
+		Held        []Holding
+	}
+
+	Holding struct {
+		_       struct{} `cbor:",toarray"`
+		Life    uint64
+		Bid     uint64
+		Running bool
+		Work    Work
+	}
+
+	// Fetch asks for the whole list, Watch for changes after a version; a Listed or a Failed answers.
+	Fetch struct {
+		_ struct{} `cbor:",toarray"`
+	}
+
+	Watch struct {
+		_     struct{} `cbor:",toarray"`
+		On    bool
+		Since int64
+	}
+
+	Listed struct {
+		_       struct{} `cbor:",toarray"`
+		Whole   bool
+		Version int64
+		Entries []Entry
+	}
+
+	Entry struct {
+		_           struct{} `cbor:",toarray"`
+		Machine     string
+		Addr        string
+		Zone        int
+		Kind        int
+		Cell        int
+		State       State
+		FreeCores   float64
+		FreeMemory  float64
+		Hint        float64
+		Incarnation uint64
+		Age         Span // since its start; below 0: long ago
+	}
+
+	Failed struct {
+		_    struct{} `cbor:",toarray"`
+		Text string
+	}
+
+	// Beat keeps an idle link from looking dead.
+	Beat struct {
+		_ struct{} `cbor:",toarray"`
+	}
+
+	// Submit asks for a container; Left is the time to its hard stop. One Answer follows, and after Placed
+	// one Fate.
+	Submit struct {
+		_    struct{} `cbor:",toarray"`
+		Left Span
+		Work Work
+	}
+
+	Cancel struct {
+		_         struct{} `cbor:",toarray"`
+		Container string
+	}
+
+	Answer struct {
+		_         struct{} `cbor:",toarray"`
+		Container string
+		Verdict   Verdict
+		Machine   string
+		HoldOff   Span
+		Text      string
+	}
+
+	Fate struct {
+		_         struct{} `cbor:",toarray"`
+		Container string
+		Machine   string
+		Outcome   Outcome
+		Reason    Reason
+	}
+
+	// Message passes bytes from one placer to another.
+	Message struct {
+		_    struct{} `cbor:",toarray"`
+		From int
+		Data []byte
+	}
+
+	AskStatus struct {
+		_ struct{} `cbor:",toarray"`
+	}
+
+	// Status is a placer's account of itself, in named figures.
+	Status struct {
+		_       struct{} `cbor:",toarray"`
+		Name    string
+		Figures []Figure
+	}
+
+	Figure struct {
+		_     struct{} `cbor:",toarray"`
+		Name  string
+		Value float64
+		Unit  string
+	}
+
+	// Bye tells why a link is about to be closed.
+	Bye struct {
+		_    struct{} `cbor:",toarray"`
+		Text string
+	}
+)
+
+// sorts makes an empty frame of each sort; the byte on the wire is the place in it.
+var sorts = [...]func() Frame{
+	1: func() Frame { return new(Hello) }, 2: func() Frame { return new(Offer) },
+	3: func() Frame { return new(Yes) }, 4: func() Frame { return new(Result) },
+	5: func() Frame { return new(Note) }, 6: func() Frame { return new(Withdraw) },
+	7: func() Frame { return new(Probe) }, 8: func() Frame { return new(Probed) },
+	9: func() Frame { return new(Holds) }, 10: func() Frame { return new(Fetch) },
+	11: func() Frame { return new(Watch) }, 12: func() Frame { return new(Listed) },
+	13: func() Frame { return new(Failed) }, 14: func() Frame { return new(Beat) },
+	15: func() Frame { return new(Submit) }, 16: func() Frame { return new(Cancel) },
+	17: func() Frame { return new(Answer) }, 18: func() Frame { return new(Fate) },
+	19: func() Frame { return new(Message) }, 20: func() Frame { return new(AskStatus) },
+	21: func() Frame { return new(Status) }, 22: func() Frame { return new(Bye) },
+}
+
+func (*Hello) sort() byte     { return 1 }
+func (*Offer) sort() byte     { return 2 }
+func (*Yes) sort() byte       { return 3 }
+func (*Result) sort() byte    { return 4 }
+func (*Note) sort() byte      { return 5 }
+func (*Withdraw) sort() byte  { return 6 }
+func (*Probe) sort() byte     { return 7 }
+func (*Probed) sort() byte    { return 8 }
+func (*Holds) sort() byte     { return 9 }
+func (*Fetch) sort() byte     { return 10 }
+func (*Watch) sort() byte     { return 11 }
+func (*Listed) sort() byte    { return 12 }
+func (*Failed) sort() byte    { return 13 }
+func (*Beat) sort() byte      { return 14 }
+func (*Submit) sort() byte    { return 15 }
+func (*Cancel) sort() byte    { return 16 }
+func (*Answer) sort() byte    { return 17 }
+func (*Fate) sort() byte      { return 18 }
+func (*Message) sort() byte   { return 19 }
+func (*AskStatus) sort() byte { return 20 }
+func (*Status) sort() byte    { return 21 }
+func (*Bye) sort() byte       { return 22 }
+
+// longest of any name on the wire, in bytes, and the furthest span: a year.
+const (
+	longestName  = 200
+	furthestSpan = Span(365 * 24 * 3600 * 10_000)
+	mostCount    = 1 << 20
+)
+
+// checker keeps the first fault found in a frame.
+type checker struct{ fault error }
+
+func (c *checker) fail(field, what string) {
+	if c.fault == nil {
+		c.fault = fmt.Errorf("%s %s", field, what)
+	}
+}
+
+func (c *checker) name(field, s string) {
+	switch {
+	case s == "":
+		c.fail(field, "is empty")
+	case len(s) > longestName:
+		c.fail(field, "is too long")
+	}
+}
+
+func (c *checker) count(field string, n int) {
+	if n < 0 || n > mostCount {
+		c.fail(field, "is out of range")
+	}
+}
+
+func (c *checker) span(field string, s Span) {
+	if s < 0 || s > furthestSpan {
+		c.fail(field, "is out of range")
+	}
+}
+
+func (c *checker) number(field string, v float64) {
+	if math.IsNaN(v) || math.IsInf(v, 0) || math.Abs(v) > 1e12 {
+		c.fail(field, "is no usable number")
+	}
+}
+
+func (c *checker) size(field string, v float64) {
+	c.number(field, v)
+	if v < 0 {
+		c.fail(field, "is below 0")
+	}
+}
+
+func (c *checker) below(field string, v, end int) {
+	if v >= end {
+		c.fail(field, "is unknown")
+	}
+}
+
+func (c *checker) report(r map[string]float64) {
+	for k, v := range r {
+		c.name("report", k)
+		c.number("report", v)
+	}
+}
+
+func (f *Hello) check() error {
+	var c checker
+	c.name("name", f.Name)
+	if f.Magic != magic {
+		c.fail("greeting", "is not glenport's")
+	} else if f.Version != Version {
+		c.fail("version", fmt.Sprintf("%d is not %d", f.Version, Version))
+	}
+	if f.Role < Placer || f.Role > Owner {
+		c.fail("role", "is unknown")
+	}
+	return c.fault
+}
+
+func (w *Work) examine(c *checker) {
+	c.name("container", w.Container)
+	c.name("key", w.Key)
+	c.name("service", w.Service)
+	c.count("workload", w.Workload)
+	c.count("customer", w.Customer)
+	c.size("cores", w.Cores)
+	c.size("memory", w.Memory)
+	c.span("window", w.Window)
+	c.span("run for", w.RunFor)
+}
+
+func (f *Offer) check() error {
+	var c checker
+	c.span("wait", f.Wait)
+	f.Work.examine(&c)
+	return c.fault
+}
+
+func (f *Result) check() error {
+	var c checker
+	c.below("outcome", int(f.Outcome), int(outcomes))
+	c.below("reason", int(f.Reason), int(reasons))
+	c.report(f.Report)
+	return c.fault
+}
+
+func (f *Note) check() error {
+	var c checker
+	if f.Sort < 1 || f.Sort > 5 {
+		c.fail("note", "is of unknown sort")
+	}
+	c.size("amount", f.Amount)
+	return c.fault
+}
+
+func (f *Probed) check() error {
+	var c checker
+	c.report(f.Report)
+	return c.fault
+}
+
+func (f *Holds) check() error {
+	var c checker
+	for i := range f.Held {
+		f.Held[i].Work.examine(&c)
+	}
+	return c.fault
+}
+
+func (f *Listed) check() error {
+	var c checker
+	for i := range f.Entries {
+		e := &f.Entries[i]
+		c.name("machine", e.Machine)
+		if e.State != Gone {
+			c.name("address", e.Addr)
+		}
+		c.count("zone", e.Zone)
+		c.count("kind", e.Kind)
+		c.count("cell", e.Cell)
+		c.below("state", int(e.State), int(states))
+		c.number("free cores", e.FreeCores)
+		c.number("free memory", e.FreeMemory)
+		c.number("hint", e.Hint)
+		if e.Age > furthestSpan {
+			c.fail("age", "is out of range")
+		}
+		if c.fault != nil {
+			return fmt.Errorf("entry %d: %w", i, c.fault)
+		}
+	}
+	return nil
+}
+
+func (f *Submit) check() error {
+	var c checker
+	c.span("left", f.Left)
+	f.Work.examine(&c)
+	return c.fault
+}
+
+func (f *Cancel) check() error {
+	var c checker
+	c.name("container", f.Container)
+	return c.fault
+}
+
+func (f *Answer) check() error {
+	var c checker
+	c.name("container", f.Container)
+	c.span("hold-off", f.HoldOff)
+	if f.Verdict < Placed || f.Verdict >= verdicts {
+		c.fail("verdict", "is unknown")
+	}
+	return c.fault
+}
+
+func (f *Fate) check() error {
+	var c checker
+	c.name("container", f.Container)
+	c.below("outcome", int(f.Outcome), int(outcomes))
+	c.below("reason", int(f.Reason), int(reasons))
+	return c.fault
+}
+
+func (f *Message) check() error {
+	var c checker
+	c.count("from", f.From)
+	return c.fault
+}
+
+func (f *Status) check() error {
+	var c checker
+	for _, g := range f.Figures {
+		c.name("figure", g.Name)
+		c.number(g.Name, g.Value)
+	}
+	return c.fault
+}
+
+func (f *Watch) check() error {
+	if f.Since < 0 {
+		return fmt.Errorf("version is below 0")
+	}
+	return nil
+}
+
+func (*Yes) check() error       { return nil }
+func (*Withdraw) check() error  { return nil }
+func (*Probe) check() error     { return nil }
+func (*Fetch) check() error     { return nil }
+func (*Failed) check() error    { return nil }
+func (*Beat) check() error      { return nil }
+func (*AskStatus) check() error { return nil }
+func (*Bye) check() error       { return nil }
