Custody of containers at the door and after breaks; the placer's settings in YAML

Need: what a placer takes in, and what becomes of containers that run or may run after a restart, a broken link or a late yes, is decided nowhere; and a placer needs its terms from a file.

Change: internal/custody, a pure module (bounds at the door, keys open or running, late yeses, containers of earlier lives, broken links tried thrice); internal/settings and internal/site read strict YAML and tell every fault with line and column.

--- /dev/null
+++ b/internal/custody/custody_test.go
@@ -0,0 +1,208 @@
+package custody
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"glenport/placer"
+
+	"pgregory.net/rapid"
+)
+
+const ms = placer.Millisecond
+
+var effects = []placer.Effect{placer.Reissuable, placer.Numbered, placer.AtMostOnce}
+
+func ask(id string, workload int) placer.Ask {
+	return placer.Ask{ID: placer.ContainerID(id), Key: "k-" + id, Service: "s", Workload: workload}
+}
+
+func again(id, key string, workload int) placer.Ask {
+	a := ask(id, workload)
+	a.Key, a.Again = key, true
+	return a
+}
+
+func held(id string, workload int, life, bid uint64, running bool) Held {
+	return Held{Ask: ask(id, workload), Machine: "m", Life: life, Bid: bid, Running: running}
+}
+
+func show(actions []Action) string {
+	var all []string
+	for _, a := range actions {
+		switch a := a.(type) {
+		case Pass:
+			all = append(all, "pass "+string(a.Ask.ID))
+		case Refuse:
+			all = append(all, "refuse "+string(a.ID))
+		case Stands:
+			all = append(all, fmt.Sprintf("stands %s at %s", a.ID, a.Machine))
+		case CallOff:
+			all = append(all, fmt.Sprintf("call off %d.%d", a.Life, a.Bid))
+		case Adopt:
+			all = append(all, "adopt "+string(a.Held.Ask.ID))
+		case Lost:
+			all = append(all, "lost "+string(a.ID))
+		case Reach:
+			all = append(all, "reach "+string(a.Machine))
+		case Dismiss:
+			all = append(all, fmt.Sprint("dismiss ", a.Caller))
+		}
+	}
+	return strings.Join(all, ", ")
+}
+
+// Each case is a history; the actions of its last step are compared. The life is 5, the first caller 1.
+func TestHistories(t *testing.T) {
+	named, told := Named{[]placer.MachineID{"m"}}, Holds{Machine: "m"}
+	for _, tc := range []struct {
+		name  string
+		steps []any // an event, or a moment from which on events happen
+		want  string
+	}{
+		{"an ask", []any{Asked{1, ask("a", 0)}}, "pass a"},
+		{"an id twice", []any{Asked{1, ask("a", 0)}, Asked{1, ask("a", 0)}}, "refuse a"},
+		{"a key that is being placed", []any{Asked{1, ask("a", 2)}, Asked{1, again("b", "k-a", 2)}}, "refuse b"},
+		{"a key that runs", []any{Asked{1, ask("a", 2)}, Placed{"a", "m", 9}, Asked{1, again("b", "k-a", 2)}},
+			"stands b at m"},
+		{"a key that has ended", []any{4000 * ms, Asked{1, ask("a", 2)}, Placed{"a", "m", 9}, Ended{"a"},
+			Asked{1, ask("b", 2)}}, "pass b"},
+		{"an unknown workload", []any{Asked{1, ask("a", 3)}}, "refuse a"},
+		{"a caller that left", []any{Left{1}, Asked{1, ask("a", 0)}}, ""},
+		{"too many callers", []any{Called{2}, Called{3}}, "dismiss 3"},
+		{"too many open", []any{Called{2}, Asked{1, ask("a", 0)}, Asked{1, ask("b", 0)}, Asked{2, ask("c", 0)},
+			Asked{2, ask("d", 0)}}, "refuse d"},
+		{"too many of one caller", []any{Asked{1, ask("a", 0)}, Asked{1, ask("b", 0)}, Asked{1, ask("c", 0)}}, "refuse c"},
+		{"room again after an answer", []any{Asked{1, ask("a", 0)}, Asked{1, ask("b", 0)}, Answered{"a"},
+			Asked{1, ask("c", 0)}}, "pass c"},
+
+		// What a placer killed -9 left running must not be started a second time by an owner who asks again.
+		{"came before, nobody has told yet", []any{Asked{1, again("b", "k-a", 2)}}, "refuse b"},
+		{"came before, reissuable", []any{Asked{1, again("b", "k-a", 0)}}, "pass b"},
+		{"came before, all have told", []any{named, told, Asked{1, again("b", "k-a", 2)}}, "pass b"},
+		{"came before, one cannot be asked", []any{named, NoLink{"m"}, 3100 * ms, Asked{1, again("b", "k-a", 2)}}, "pass b"},
+		{"came before, and runs", []any{named, Holds{"m", []Held{held("a", 2, 4, 7, true)}},
+			Asked{1, again("b", "k-a", 2)}}, "stands b at m"},
+		{"machines are asked", []any{named}, "reach m"},
+		{"one that could not be asked is asked later", []any{named, NoLink{"m"}, 5100 * ms, Woke{}}, "reach m"},
+		{"one that is gone is not", []any{named, NoLink{"m"}, Unnamed{"m"}, 5100 * ms, Woke{}}, ""},
+
+		{"earlier life, running", []any{Holds{"m", []Held{held("a", 0, 4, 7, true)}}}, "adopt a"},
+		{"earlier life, waiting", []any{Holds{"m", []Held{held("a", 2, 4, 7, false)}}}, "call off 4.7"},
+		{"named twice", []any{Holds{"m", []Held{held("a", 0, 4, 7, true)}}, Holds{"m", []Held{held("a", 0, 4, 7, true)}}},
+			""},
+		{"earlier life, then gone", []any{Holds{"m", []Held{held("a", 0, 4, 7, true)}}, Holds{"m", nil}}, "lost a"},
+		{"two copies of one key", []any{Asked{1, ask("a", 1)}, Placed{"a", "n", 9},
+			Holds{"m", []Held{{again("b", "k-a", 1), "m", 4, 7, true}}}}, "call off 4.7"},
+
+		{"late yes, reissuable", []any{Asked{1, ask("a", 0)}, LateYes{held("a", 0, 5, 9, true)}}, "call off 5.9"},
+		{"late yes, given up", []any{Asked{1, ask("a", 2)}, Answered{"a"}, Ended{"a"},
+			LateYes{held("a", 2, 5, 9, true)}}, "adopt a"},
+		{"late yes while it is open", []any{Asked{1, ask("a", 1)}, LateYes{held("a", 1, 5, 9, true)}}, ""},
+		{"then it ends", []any{Asked{1, ask("a", 1)}, LateYes{held("a", 1, 5, 9, true)}, Ended{"a"}}, "adopt a"},
+		{"then it is placed elsewhere", []any{Asked{1, ask("a", 1)}, LateYes{held("a", 1, 5, 9, true)},
+			Placed{"a", "n", 10}}, "call off 5.9"},
+		{"reset, then named by its machine", []any{Asked{1, ask("a", 2)}, Ended{"a"},
+			Holds{"m", []Held{held("a", 2, 5, 9, true)}}}, "adopt a"},
+
+		{"link broken, tried at once", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"}}, "reach m"},
+		{"nothing runs there", []any{Broke{"m"}}, ""},
+		{"still named", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"},
+			Holds{"m", []Held{held("a", 0, 5, 9, true)}}}, ""},
+		{"no longer named", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"}, Holds{"m", nil}}, "lost a"},
+		{"tried again", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"}, NoLink{"m"}, 200 * ms, Woke{}}, "reach m"},
+		{"given up", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"}, NoLink{"m"}, 200 * ms, Woke{},
+			NoLink{"m"}, 1000 * ms, Woke{}, NoLink{"m"}}, "lost a"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table, now, got := New(5, Bounds{Callers: 2, Open: 3, OpenPerCaller: 2}, effects), placer.Time(0), ""
+			table.Handle(now, []Event{Called{1}})
+			for _, s := range tc.steps {
+				switch s := s.(type) {
+				case placer.Time:
+					now = s
+				case Event:
+					got = show(table.Handle(now, []Event{s}))
+				}
+			}
+			if got != tc.want {
+				t.Errorf("got %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// Drawn histories against what must hold whatever happens: a key that must not run twice is passed on only
+// while it neither runs nor is open; tables empty when all has ended; equal histories give equal actions.
+func TestDrawnHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(5, Bounds{9, 9, 9}, effects), New(5, Bounds{9, 9, 9}, effects)
+		now, open, runs, bid := placer.Time(0), map[placer.ContainerID]string{}, map[placer.ContainerID]string{}, uint64(0)
+		a.Handle(0, []Event{Called{1}})
+		b.Handle(0, []Event{Called{1}})
+		id := func() placer.ContainerID {
+			return placer.ContainerID(rapid.SampledFrom([]string{"a", "b", "c", "d"}).Draw(t, "id"))
+		}
+		for range 40 {
+			now += placer.Time(rapid.IntRange(0, 20000).Draw(t, "on"))
+			var e Event
+			switch rapid.IntRange(0, 7).Draw(t, "event") {
+			case 0, 1:
+				q := again(string(id()), rapid.SampledFrom([]string{"x", "y"}).Draw(t, "key"), rapid.IntRange(0, 2).Draw(t, "workload"))
+				e = Asked{1, q}
+			case 2:
+				i := id()
+				if key, ok := open[i]; ok {
+					bid++
+					delete(open, i)
+					runs[i] = key
+					e = Placed{i, "m", bid}
+				}
+			case 3:
+				i := id()
+				delete(open, i)
+				delete(runs, i)
+				e = Ended{i}
+			case 4:
+				e = Broke{"m"}
+			case 5:
+				e = NoLink{"m"}
+			case 6:
+				e = Holds{"m", nil}
+			case 7:
+				e = Woke{}
+			}
+			if e == nil {
+				continue
+			}
+			got := a.Handle(now, []Event{e})
+			if other := b.Handle(now, []Event{e}); show(got) != show(other) {
+				t.Fatalf("%v gives %q and %q", e, show(got), show(other))
+			}
+			for _, act := range got {
+				switch act := act.(type) {
+				case Pass:
+					for _, table := range []map[placer.ContainerID]string{open, runs} {
+						for other, key := range table {
+							if key == act.Ask.Key {
+								t.Fatalf("%s passed though %s has key %s", act.Ask.ID, other, key)
+							}
+						}
+					}
+					open[act.Ask.ID] = act.Ask.Key
+				case Lost:
+					delete(runs, act.ID)
+					a.Handle(now, []Event{Ended{act.ID}})
+					b.Handle(now, []Event{Ended{act.ID}})
+				}
+			}
+		}
+		for _, i := range []placer.ContainerID{"a", "b", "c", "d"} {
+			a.Handle(now, []Event{Ended{i}})
+		}
+		if n := len(a.own) + len(a.keys) + len(a.at) + len(a.broken) + a.open + a.callers[1]; n != 0 {
+			t.Fatalf("%d left in tables", n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,331 @@
+// Package site reads what a placer is told when it starts: its place among the others, the machines it bids
+// to, the workloads, and the bounds it keeps. It turns that into the placer module's terms.
+package site
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"glenport/internal/custody"
+	"glenport/internal/loop"
+	"glenport/internal/settings"
+	"glenport/placer"
+)
+
+// Placer is a placer's file, checked.
+type Placer struct {
+	Name      string
+	Door      string
+	ListAddr  string
+	Keep      string // the file of the last list; none where empty
+	Peers     []string
+	Terms     placer.Terms
+	Bounds    custody.Bounds
+	Output    int // bytes that may wait on one link
+	Connect   loop.Tick
+	Idle      loop.Tick
+	Silent    loop.Tick
+	Workloads []string
+	Customers []string
+}
+
+type file struct {
+	Name      settings.Word   `yaml:"name"`
+	Number    settings.Count  `yaml:"number"`
+	Placers   settings.Count  `yaml:"placers"`
+	Seed      settings.Count  `yaml:"seed" settings:"may"`
+	Door      settings.Word   `yaml:"door"`
+	Keep      settings.Word   `yaml:"keep" settings:"may"`
+	Peers     []settings.Word `yaml:"peers"`
+	List      list            `yaml:"list"`
+	Links     links           `yaml:"links"`
+	Bounds    bounds          `yaml:"bounds"`
+	Machines  machines        `yaml:"machines"`
+	Bids      bids            `yaml:"bids"`
+	Workloads []workload      `yaml:"workloads"`
+	Customers []customer      `yaml:"customers"`
+	OverShare settings.Number `yaml:"over_share" settings:"may"`
+}
+
+type list struct {
+	Address   settings.Word `yaml:"address"`
+	AskWithin settings.Span `yaml:"ask_within"`
+}
+
+type links struct {
+	Connect settings.Span   `yaml:"connect_within"`
+	Idle    settings.Span   `yaml:"close_idle_after"`
+	Silent  settings.Span   `yaml:"broken_when_silent_for"`
+	Output  settings.Memory `yaml:"most_waiting_output"`
+}
+
+type bounds struct {
+	Owners       settings.Count `yaml:"owners"`
+	Open         settings.Count `yaml:"open_containers"`
+	OpenPerOwner settings.Count `yaml:"open_containers_of_one_owner"`
+}
+
+type machines struct {
+	Kinds      []kind         `yaml:"kinds"`
+	Accept     multiples      `yaml:"accept"`
+	Mean       mean           `yaml:"mean_container"`
+	Yes        settings.Word  `yaml:"say_yes_when"`
+	UseNotes   settings.Flag  `yaml:"tell_use"`
+	ListedAsks settings.Flag  `yaml:"list_tells_room"`
+	Probes     settings.Flag  `yaml:"may_be_probed"`
+	ColdFor    settings.Span  `yaml:"cold_for"`
+	ColdWindow settings.Span  `yaml:"cold_window"`
+	ColdBids   settings.Count `yaml:"cold_bids"`
+}
+
+type kind struct {
+	Name   settings.Word   `yaml:"name"`
+	Cores  settings.Number `yaml:"cores"`
+	Memory settings.Memory `yaml:"memory"`
+}
+
+type multiples struct {
+	Cores  settings.Number `yaml:"cores"`
+	Memory settings.Number `yaml:"memory"`
+}
+
+type mean struct {
+	Cores  settings.Number `yaml:"cores"`
+	Memory settings.Memory `yaml:"memory"`
+}
+
+type bids struct {
+	Most  settings.Count `yaml:"most"`
+	Grace settings.Span  `yaml:"answer_grace"`
+}
+
+type workload struct {
+	Name     settings.Word   `yaml:"name"`
+	Effect   settings.Word   `yaml:"effect"`
+	Repeats  settings.Word   `yaml:"repeats_dropped_in" settings:"may"`
+	Window   settings.Span   `yaml:"repeats_dropped_for" settings:"may"`
+	Agreed   settings.Span   `yaml:"agreed_time"`
+	HardStop settings.Span   `yaml:"hard_stop"`
+	Kind     settings.Word   `yaml:"kind" settings:"may"`
+	Spread   settings.Word   `yaml:"spread_over" settings:"may"`
+	Most     settings.Count  `yaml:"most_in_one" settings:"may"`
+	Gain     settings.Number `yaml:"gain"`
+}
+
+type customer struct {
+	Name  settings.Word   `yaml:"name"`
+	Cores settings.Number `yaml:"cores"`
+}
+
+// Load reads and checks a placer's file.
+func Load(path string) (*Placer, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, data)
+}
+
+// Parse checks the text of a placer's file; the first fault is returned.
+func Parse(name string, data []byte) (*Placer, error) {
+	var f file
+	src, err := settings.Read(name, data, &f)
+	if err != nil {
+		return nil, err
+	}
+	c := &check{src: src}
+	p := c.placer(&f)
+	if c.fault != nil {
+		return nil, c.fault
+	}
+	return p, nil
+}
+
+// check keeps the first fault met.
+type check struct {
+	src   *settings.File
+	fault error
+}
+
+func (c *check) keep(err error) {
+	if c.fault == nil {
+		c.fault = err
+	}
+}
+
+func (c *check) fail(at settings.Place, format string, a ...any) {
+	c.keep(c.src.At(at, format, a...))
+}
+
+func (c *check) needed(path string, mapping any) { c.keep(settings.Needed(c.src, path, mapping)) }
+
+func (c *check) address(w settings.Word) string {
+	if _, err := netip.ParseAddrPort(w.Text); err != nil && w.Set() {
+		c.fail(w.Place, "%q is no address such as 127.0.0.1:7400", w.Text)
+	}
+	return w.Text
+}
+
+func (c *check) above0(n settings.Number) float64 {
+	if n.Value <= 0 {
+		c.fail(n.Place, "%g is not above 0", n.Value)
+	}
+	return n.Value
+}
+
+func (c *check) some(n settings.Count) int {
+	if n.Value == 0 {
+		c.fail(n.Place, "0 would let nothing pass")
+	}
+	return n.Value
+}
+
+func (c *check) span(s settings.Span) placer.Time { return placer.Time(s.Tenths) }
+
+func (c *check) lasting(s settings.Span) placer.Time {
+	if s.Tenths == 0 {
+		c.fail(s.Place, "a span above 0 is wanted")
+	}
+	return placer.Time(s.Tenths)
+}
+
+func (c *check) placer(f *file) *Placer {
+	c.needed("", *f)
+	for _, m := range []struct {
+		path string
+		of   any
+	}{{"list", f.List}, {"links", f.Links}, {"bounds", f.Bounds}, {"machines", f.Machines},
+		{"machines.accept", f.Machines.Accept}, {"machines.mean_container", f.Machines.Mean}, {"bids", f.Bids}} {
+		c.needed(m.path, m.of)
+	}
+	if c.fault != nil {
+		return nil
+	}
+	if f.Number.Value >= f.Placers.Value {
+		c.fail(f.Number.Place, "number %d is not below placers, %d", f.Number.Value, f.Placers.Value)
+	}
+	m := &f.Machines
+	p := &Placer{Name: f.Name.Text, Door: c.address(f.Door), ListAddr: c.address(f.List.Address), Keep: f.Keep.Text,
+		Bounds: custody.Bounds{Callers: c.some(f.Bounds.Owners), Open: c.some(f.Bounds.Open),
+			OpenPerCaller: c.some(f.Bounds.OpenPerOwner)},
+		Output:  int(f.Links.Output.GiB * (1 << 30)),
+		Connect: loop.Tick(c.lasting(f.Links.Connect)), Idle: loop.Tick(c.lasting(f.Links.Idle)),
+		Silent: loop.Tick(c.lasting(f.Links.Silent)),
+		Terms: placer.Terms{Seed: uint64(f.Seed.Value), Me: f.Number.Value, Placers: f.Placers.Value,
+			OverShare: f.OverShare.Value, AcceptCores: c.above0(m.Accept.Cores), AcceptMemory: c.above0(m.Accept.Memory),
+			MeanCores: c.above0(m.Mean.Cores), MeanMemory: m.Mean.Memory.GiB, UseNotes: m.UseNotes.Value,
+			ListedAsks: m.ListedAsks.Value, MayProbe: m.Probes.Value, MostBids: c.some(f.Bids.Most),
+			AnswerGrace: c.span(f.Bids.Grace), ListOnAsk: true, AskWithin: c.lasting(f.List.AskWithin),
+			ColdFor: c.span(m.ColdFor), ColdWindow: c.span(m.ColdWindow), ColdBids: m.ColdBids.Value}}
+	if p.Output < 64<<10 {
+		c.fail(f.Links.Output.Place, "%d bytes are too few for a frame: 64KiB at least", p.Output)
+	}
+	if p.Terms.MeanMemory <= 0 {
+		c.fail(m.Mean.Memory.Place, "a container of mean size needs memory above 0")
+	}
+	for _, w := range f.Peers {
+		p.Peers = append(p.Peers, c.address(w))
+	}
+	if n := len(f.Peers); n > 0 && n != f.Placers.Value {
+		c.fail(f.Peers[0].Place, "%d peers of %d placers: name all, this one too, or none", n, f.Placers.Value)
+	}
+	yes, err := settings.Choose(c.src, m.Yes, "accepted", "running")
+	c.keep(err)
+	p.Terms.YesRuns = yes == 1
+	kinds := c.kinds(m.Kinds, p)
+	for i := range f.Workloads {
+		c.workload(fmt.Sprintf("workloads[%d]", i), &f.Workloads[i], kinds, p)
+	}
+	if len(f.Workloads) == 0 {
+		c.keep(c.src.Missing("", "workloads"))
+	}
+	for i, k := range f.Customers {
+		c.needed(fmt.Sprintf("customers[%d]", i), k)
+		p.Terms.Customers = append(p.Terms.Customers, placer.Customer{Cores: c.above0(k.Cores)})
+		p.Customers = append(p.Customers, k.Name.Text)
+	}
+	if f.OverShare.Value < 0 || f.OverShare.Value > 1 {
+		c.fail(f.OverShare.Place, "%g is no part from 0 to 1", f.OverShare.Value)
+	}
+	return p
+}
+
+func (c *check) kinds(all []kind, p *Placer) map[string]int {
+	byName := map[string]int{}
+	for i, k := range all {
+		c.needed(fmt.Sprintf("machines.kinds[%d]", i), k)
+		if _, twice := byName[k.Name.Text]; twice {
+			c.fail(k.Name.Place, "kind %q stands twice", k.Name.Text)
+		}
+		byName[k.Name.Text] = i
+		if k.Memory.GiB <= 0 {
+			c.fail(k.Memory.Place, "a machine needs memory above 0")
+		}
+		p.Terms.Kinds = append(p.Terms.Kinds, placer.Kind{Cores: c.above0(k.Cores), Memory: k.Memory.GiB})
+	}
+	if len(all) == 0 {
+		c.keep(c.src.Missing("machines", "kinds"))
+	}
+	return byName
+}
+
+func (c *check) workload(path string, f *workload, kinds map[string]int, p *Placer) {
+	c.needed(path, *f)
+	if c.fault != nil {
+		return
+	}
+	w := placer.Workload{Agreed: c.lasting(f.Agreed), HardStop: c.lasting(f.HardStop), Kind: -1, Gain: c.above0(f.Gain)}
+	if w.Agreed > w.HardStop {
+		c.fail(f.Agreed.Place, "the agreed time is after the hard stop")
+	}
+	effect, err := settings.Choose(c.src, f.Effect, "reissuable", "numbered", "at-most-once")
+	c.keep(err)
+	w.Effect = placer.Effect(effect)
+	if w.Effect == placer.Numbered {
+		if !f.Repeats.Set() {
+			c.keep(c.src.Missing(path, "repeats_dropped_in"))
+		}
+		if !f.Window.Set() {
+			c.keep(c.src.Missing(path, "repeats_dropped_for"))
+		}
+		n, err := settings.Choose(c.src, f.Repeats, "cell", "zone", "everywhere")
+		c.keep(err)
+		w.Repeats, w.Window = []placer.Place{placer.OneCell, placer.OneZone, placer.Everywhere}[n], c.span(f.Window)
+	} else if f.Repeats.Set() || f.Window.Set() {
+		c.fail(max1(f.Repeats.Place, f.Window.Place), "only numbered work has its repeats dropped")
+	}
+	if f.Kind.Set() {
+		n, ok := kinds[f.Kind.Text]
+		if !ok {
+			c.fail(f.Kind.Place, "there is no kind %q", f.Kind.Text)
+		}
+		w.Kind = n
+	}
+	if f.Spread.Set() {
+		n, err := settings.Choose(c.src, f.Spread, "machine", "cell", "zone")
+		c.keep(err)
+		w.Spread = []placer.Place{placer.OneMachine, placer.OneCell, placer.OneZone}[n]
+		if !f.Most.Set() {
+			c.keep(c.src.Missing(path, "most_in_one"))
+		}
+		w.Most = c.some(f.Most)
+	} else if f.Most.Set() {
+		c.fail(f.Most.Place, "most_in_one needs spread_over")
+	}
+	for _, name := range p.Workloads {
+		if name == f.Name.Text {
+			c.fail(f.Name.Place, "workload %q stands twice", name)
+		}
+	}
+	p.Workloads = append(p.Workloads, f.Name.Text)
+	p.Terms.Workloads = append(p.Terms.Workloads, w)
+}
+
+// max1 is the first of two places that is set.
+func max1(a, b settings.Place) settings.Place {
+	if a.Set() {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,75 @@
+package site
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"glenport/placer"
+)
+
+func sample(t *testing.T) string {
+	data, err := os.ReadFile("../../deploy/placer.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
+
+func TestSample(t *testing.T) {
+	p, err := Parse("placer.yaml", []byte(sample(t)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := placer.Workload{Effect: placer.Numbered, Repeats: placer.OneZone, Window: 8 * placer.Second,
+		Agreed: 700 * placer.Millisecond, HardStop: 6 * placer.Second, Kind: -1, Gain: 2}
+	if got := p.Terms.Workloads[1]; got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	if k := p.Terms.Kinds[1]; k.Cores != 48 || k.Memory != 120 || p.Output != 1<<20 || p.Terms.ColdBids != 60 {
+		t.Errorf("got %+v", p)
+	}
+}
+
+// Every fault is told with its line and column.
+func TestFaults(t *testing.T) {
+	for _, tc := range []struct{ name, old, new, want string }{
+		{"unknown key", "seed: 17", "sead: 17", `placer.yaml:5:1: unknown field "sead"`},
+		{"key twice", "seed: 17", "seed: 17\nseed: 18", "placer.yaml:6:1: "},
+		{"span without unit", "ask_within: 10s", "ask_within: 10", `placer.yaml:10:15: "10" has no unit; write one of ms`},
+		{"span in another unit", "cold_for: 17s", "cold_for: 17GiB", `"17GiB" has the unit "GiB", which is none of ms`},
+		{"memory without unit", "memory: 120GiB", "memory: 120", `placer.yaml:23:40: "120" has no unit; write one of KiB`},
+		{"no number", "cores: 48", "cores: many", `"many" is no number`},
+		{"no whole number", "most: 4", "most: 4.5", `"4.5" is no whole number`},
+		{"missing", "  address: 127.0.0.1:7300\n", "", "placer.yaml:9:3: list.address is missing"},
+		{"missing in a list", "effect: reissuable, ", "", "workloads[0].effect is missing"},
+		{"no address", "127.0.0.1:7400", "localhost", `placer.yaml:6:7: "localhost" is no address`},
+		{"number beyond placers", "number: 0 ", "number: 3 ", "placer.yaml:3:9: number 3 is not below placers, 3"},
+		{"no such effect", "effect: numbered", "effect: keyed", `"keyed" is none of reissuable, numbered, at-most-once`},
+		{"numbered without a group", "repeats_dropped_in: zone, ", "", "workloads[1].repeats_dropped_in is missing"},
+		{"window of what has none", "effect: reissuable", "effect: reissuable, repeats_dropped_for: 8s", "only numbered work"},
+		{"unknown kind", "kind: large", "kind: huge", `there is no kind "huge"`},
+		{"kind twice", "name: large", "name: small", `kind "small" stands twice`},
+		{"workload twice", "name: report-run", "name: matcher", `workload "matcher" stands twice`},
+		{"spread without most", ", most_in_one: 2", "", "workloads[2].most_in_one is missing"},
+		{"agreed after hard stop", "agreed_time: 2s", "agreed_time: 20s", "the agreed time is after the hard stop"},
+		{"neither true nor false", "may_be_probed: true", "may_be_probed: maybe", `"maybe" is neither true nor false`},
+		{"part out of range", "over_share: 0.2", "over_share: 2", "2 is no part from 0 to 1"},
+		{"a list in place of a value", "seed: 17", "seed: [1]", "placer.yaml:5:7: a value is wanted here"},
+		{"no YAML", "placers: 3", "placers: [3", "placer.yaml:"},
+		{"two documents", "over_share: 0.2", "over_share: 0.2\n---\nname: x", "more than one document"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			text := strings.Replace(sample(t), tc.old, tc.new, 1)
+			if text == sample(t) {
+				t.Fatal("nothing was changed")
+			}
+			if _, err := Parse("placer.yaml", []byte(text)); err == nil || !strings.Contains(err.Error(), tc.want) {
+				t.Errorf("got %v, want %s", err, tc.want)
+			}
+		})
+	}
+	if _, err := Parse("placer.yaml", nil); err == nil || err.Error() != "placer.yaml: is empty" {
+		t.Errorf("empty: %v", err)
+	}
+}
