The placer's host on sockets, and the program's first commands

Need: the module decides and nothing carries it out.

Change: internal/host feeds the module one batch a turn from the door, the machines' links and the list, and carries out its actions in order; glenport placer, check, submit and status on cobra.

--- /dev/null
+++ b/cmd/glenport/main.go
@@ -0,0 +1,104 @@
+// Command glenport places long-running work on the machines of a cluster.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+
+	"glenport/internal/host"
+	"glenport/internal/site"
+	"glenport/placer"
+
+	"github.com/spf13/cobra"
+)
+
+func main() {
+	root := &cobra.Command{Use: "glenport", Short: "Place long-running work on the machines of a cluster",
+		SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(placerCommand(), checkCommand(), submitCommand(), statusCommand())
+	if err := root.Execute(); err != nil {
+		var code exitCode
+		if errors.As(err, &code) {
+			os.Exit(int(code))
+		}
+		fmt.Fprintln(os.Stderr, "glenport:", err)
+		os.Exit(2)
+	}
+}
+
+// exitCode ends the program without a further word.
+type exitCode int
+
+func (c exitCode) Error() string { return fmt.Sprintf("exit %d", int(c)) }
+
+func placerCommand() *cobra.Command {
+	var file, form string
+	c := &cobra.Command{Use: "placer", Short: "Run one placer until it is told to stop", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			log, err := logger(form)
+			if err != nil {
+				return err
+			}
+			s, err := site.Load(file)
+			if err != nil {
+				return err
+			}
+			h, err := host.New(s, placer.New(s.Terms), log)
+			if err != nil {
+				return err
+			}
+			return runUntilTold(h)
+		}}
+	c.Flags().StringVarP(&file, "config", "c", "", "the placer's file")
+	c.Flags().StringVar(&form, "log", "text", "form of the log: text or json")
+	c.MarkFlagRequired("config")
+	return c
+}
+
+func logger(form string) (*slog.Logger, error) {
+	switch form {
+	case "text":
+		return slog.New(slog.NewTextHandler(os.Stderr, nil)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(os.Stderr, nil)), nil
+	}
+	return nil, fmt.Errorf("--log %q is neither text nor json", form)
+}
+
+// runUntilTold runs a host until it ends or an interrupt or a termination comes.
+func runUntilTold(h *host.Host) error {
+	told := make(chan os.Signal, 1)
+	signal.Notify(told, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-told
+		h.Stop()
+	}()
+	runtime.LockOSThread()
+	return h.Run()
+}
+
+func checkCommand() *cobra.Command {
+	return &cobra.Command{Use: "check FILE...", Short: "Check placers' files", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			bad := false
+			for _, f := range files {
+				s, err := site.Load(f)
+				if err != nil {
+					fmt.Fprintln(c.ErrOrStderr(), err)
+					bad = true
+					continue
+				}
+				fmt.Fprintf(c.OutOrStdout(), "%s: placer %s, %d of %d, %d workloads, %d kinds of machine: good\n",
+					f, s.Name, s.Terms.Me+1, s.Terms.Placers, len(s.Terms.Workloads), len(s.Terms.Kinds))
+			}
+			if bad {
+				return exitCode(1)
+			}
+			return nil
+		}}
+}
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -104,7 +104,10 @@
 		Why    string
 	}
 	// Pass hands an ask to the placer module; Refuse turns it away.
-	Pass   struct{ Ask placer.Ask }
+	Pass struct {
+		Caller Caller
+		Ask    placer.Ask
+	}
 	Refuse struct {
 		Caller  Caller
 		ID      placer.ContainerID
@@ -280,7 +283,7 @@
 		t.own[c.id], t.keys[c.key] = c, c
 		t.open++
 		t.callers[e.Caller]++
-		t.do(Pass{e.Ask})
+		t.do(Pass{e.Caller, e.Ask})
 	}
 }
 
--- /dev/null
+++ b/internal/host/door.go
@@ -0,0 +1,218 @@
+package host
+
+import (
+	"fmt"
+	"sort"
+
+	"glenport/internal/custody"
+	"glenport/internal/link"
+	"glenport/internal/loop"
+	"glenport/placer"
+)
+
+func sortBids(all []*bid) {
+	sort.Slice(all, func(i, j int) bool { return all[i].number < all[j].number })
+}
+
+// owner is a caller at the door: an owner of containers, or another placer with a message.
+type owner struct {
+	h       *Host
+	caller  custody.Caller
+	conn    *loop.Conn
+	reader  link.Reader
+	name    string
+	role    link.Role
+	came    loop.Tick
+	halfAt  loop.Tick
+	dropped bool
+}
+
+func (h *Host) accept() (loop.Handler, int) {
+	h.lastOwner++
+	return &owner{h: h, caller: h.lastOwner, reader: link.Reader{Most: link.SmallFrame}, name: "stranger",
+		came: h.loop.Now()}, h.site.Output
+}
+
+func (o *owner) Opened(c *loop.Conn) {
+	o.conn = c
+	o.h.owners[o.caller] = o
+	o.write(link.Greeting(link.Placer, o.h.site.Name, o.h.life))
+}
+
+func (o *owner) Read(_ *loop.Conn, p []byte) {
+	if o.dropped {
+		return
+	}
+	if err := o.reader.Feed(p, o.take); err != nil {
+		o.h.badLink(o.name, err)
+		o.drop(err.Error())
+	}
+	if o.reader.Half() == 0 {
+		o.halfAt = 0
+	} else if o.halfAt == 0 {
+		o.halfAt = o.h.loop.Now()
+	}
+}
+
+func (o *owner) Closed(*loop.Conn, error) {
+	o.dropped = true
+	delete(o.h.owners, o.caller)
+	if o.role == link.Owner {
+		o.h.tell(custody.Left{Caller: o.caller})
+	}
+}
+
+// drop ends the link with a word why.
+func (o *owner) drop(why string) {
+	if !o.dropped {
+		o.write(&link.Bye{Text: why})
+		o.dropped = true
+		o.conn.Close()
+	}
+}
+
+// write sends a frame. An owner that takes too little is dropped: its answers cannot be kept without bound.
+func (o *owner) write(f link.Frame) {
+	if o.dropped {
+		o.h.meter.unheard++
+		return
+	}
+	p, err := o.h.frame(f)
+	if err != nil {
+		o.h.log.Error("frame not sent", "owner", o.name, "why", err)
+		return
+	}
+	if err := o.conn.Write(p); err != nil {
+		o.h.meter.unheard++
+		o.dropped = true
+		o.h.badLink(o.name, fmt.Errorf("%w: %d bytes wait", err, o.conn.Waiting()))
+		o.conn.Reset()
+	}
+}
+
+func (o *owner) house(now loop.Tick) {
+	switch {
+	case o.role == 0 && now-o.came > greetWithin:
+		o.h.badLink(o.name, fmt.Errorf("no greeting in %d ms", (now-o.came)/loop.Millisecond))
+		o.drop("no greeting in time")
+	case o.halfAt > 0 && now-o.halfAt > o.h.site.Silent:
+		o.h.badLink(o.name, fmt.Errorf("half a frame for %d ms", (now-o.halfAt)/loop.Millisecond))
+		o.drop("half a frame")
+	}
+}
+
+func (o *owner) take(f link.Frame) error {
+	h := o.h
+	switch f := f.(type) {
+	case *link.Hello:
+		o.name, o.role = f.Name, f.Role
+		switch f.Role {
+		case link.Owner:
+			h.tell(custody.Called{Caller: o.caller})
+		case link.Placer:
+		default:
+			return fmt.Errorf("a %s has no business at this door", f.Role)
+		}
+	case *link.Submit:
+		h.submitted(o, f)
+	case *link.Cancel:
+		h.cancel(o, placer.ContainerID(f.Container))
+	case *link.AskStatus:
+		o.write(h.status())
+	case *link.Message:
+		h.feed(placer.Heard{From: f.From, Data: f.Data})
+	case *link.Beat:
+	case *link.Bye:
+		o.drop("good bye")
+	default:
+		return fmt.Errorf("%T is not for the door", f)
+	}
+	return nil
+}
+
+func (h *Host) submitted(o *owner, f *link.Submit) {
+	now, w := placer.Time(h.loop.Now()), &f.Work
+	ask := placer.Ask{ID: placer.ContainerID(w.Container), Key: w.Key, Service: w.Service, Workload: w.Workload,
+		Customer: w.Customer, Cores: w.Cores, Memory: w.Memory, Due: now + placer.Time(f.Left),
+		Life: placer.Time(w.RunFor), Again: w.Again}
+	h.meter.submitted++
+	h.asking[ask.ID] = h.loop.Clock()
+	h.tell(custody.Asked{Caller: o.caller, Ask: ask})
+}
+
+// send reaches an owner by its number.
+func (h *Host) send(to custody.Caller, f link.Frame) {
+	if o := h.owners[to]; o != nil {
+		o.write(f)
+	}
+}
+
+func (h *Host) turnAway(a custody.Refuse) {
+	h.meter.answered(link.TurnedAway)
+	h.send(a.Caller, &link.Answer{Container: string(a.ID), Verdict: link.TurnedAway, HoldOff: link.Span(a.HoldOff), Text: a.Why})
+}
+
+// cancel ends a container that its owner no longer wants.
+func (h *Host) cancel(o *owner, id placer.ContainerID) {
+	c := h.open[id]
+	if c == nil || c.owner != o {
+		return
+	}
+	if b := c.bid; b != nil && b.placed {
+		h.callOff(b) // its end is told when the machine says so
+		return
+	}
+	h.feed(placer.Vanished{ID: id})
+	if !c.answered {
+		c.answered = true
+		h.meter.answered(link.GivenUp)
+		o.write(&link.Answer{Container: string(id), Verdict: link.GivenUp, Text: "cancelled"})
+		h.tell(custody.Answered{ID: id})
+	}
+	if b := c.bid; b != nil {
+		h.callOff(b)
+		h.over(b, placer.Ended{Outcome: placer.Stopped, Over: true})
+		return
+	}
+	h.close(c)
+}
+
+// peer is a link to another placer's door, for messages.
+type peer struct {
+	h      *Host
+	number int
+	conn   *loop.Conn
+	reader link.Reader
+}
+
+func (h *Host) pass(a placer.Tell) {
+	for i, addr := range h.site.Peers {
+		if i == h.site.Terms.Me || a.To >= 0 && a.To != i {
+			continue
+		}
+		p := h.peers[i]
+		if p == nil {
+			p = &peer{h: h, number: i}
+			h.peers[i] = p
+			p.conn = h.loop.Dial(addr, p, h.site.Output, h.site.Connect)
+			p.write(link.Greeting(link.Placer, h.site.Name, h.life))
+		}
+		p.write(&link.Message{From: h.site.Terms.Me, Data: a.Data})
+	}
+}
+
+// write sends a frame, or loses it where the peer takes too little: messages may be lost.
+func (p *peer) write(f link.Frame) {
+	if b, err := p.h.frame(f); err == nil {
+		p.conn.Write(b)
+	}
+}
+
+func (p *peer) Opened(*loop.Conn) {}
+func (p *peer) Read(c *loop.Conn, b []byte) {
+	if err := p.reader.Feed(b, func(link.Frame) error { return nil }); err != nil {
+		p.h.badLink(fmt.Sprint("placer ", p.number), err)
+		c.Close()
+	}
+}
+func (p *peer) Closed(*loop.Conn, error) { delete(p.h.peers, p.number) }
--- /dev/null
+++ b/internal/host/host.go
@@ -0,0 +1,437 @@
+// Package host runs one placer on sockets: it turns what comes in into events, hands them to the decisions once
+// a turn, and carries out what they want done, in order. It decides nothing itself. Everything here runs on
+// the event loop's goroutine.
+package host
+
+import (
+	"fmt"
+	"log/slog"
+	"time"
+
+	"glenport/internal/custody"
+	"glenport/internal/link"
+	"glenport/internal/loop"
+	"glenport/internal/site"
+	"glenport/placer"
+)
+
+// Decider is the placer module, or a script in its place.
+type Decider interface {
+	Handle(now placer.Time, events []placer.Event) []placer.Action
+}
+
+const (
+	housekeeping = loop.Second
+	greetWithin  = 5 * loop.Second // a stranger that has not greeted by then is dropped
+	probeWithin  = loop.Second
+	lateFor      = 60 * loop.Second // for how long a bid that was over may still be said yes to by its number
+)
+
+// Host is one life of a placer.
+type Host struct {
+	site    *site.Placer
+	life    uint64
+	log     *slog.Logger
+	loop    *loop.Loop
+	door    *loop.Listener
+	decider Decider
+	custody *custody.Table
+	meter   meter
+
+	events []placer.Event  // to be handled next
+	told   []custody.Event // likewise
+
+	open      map[placer.ContainerID]*container    // until answered and without a bid
+	machines  map[placer.MachineID]*machine        // until gone from the list and empty
+	asking    map[placer.ContainerID]time.Duration // when submissions of this turn came
+	scratch   []byte
+	owners    map[custody.Caller]*owner // until their link ends
+	peers     map[int]*peer             // until their link ends
+	list      listLink
+	keeper    keeper
+	lastBid   uint64
+	lastOwner custody.Caller
+	lastSeq   uint64
+}
+
+// container is one that this placer has taken or taken over.
+type container struct {
+	ask      placer.Ask
+	window   link.Span
+	owner    *owner // nil where it was taken over
+	answered bool
+	bids     int
+	bid      *bid // the one out, or the one by which it runs
+	came     time.Duration
+}
+
+// bid is an offer that is to be sent, is out, or has led to a container that runs.
+type bid struct {
+	number  uint64
+	life    uint64
+	nth     int
+	c       *container
+	at      *machine
+	sentAt  loop.Tick
+	until   loop.Tick
+	timer   *loop.Timer
+	sent    bool
+	placed  bool
+	stopped bool // its end was asked for
+}
+
+// New makes the host of one life of a placer and opens its door. Stop or Run to its end frees what it holds.
+func New(s *site.Placer, d Decider, log *slog.Logger) (*Host, error) {
+	h := &Host{site: s, life: uint64(time.Now().UnixMicro()), log: log, decider: d,
+		open: map[placer.ContainerID]*container{}, machines: map[placer.MachineID]*machine{},
+		asking: map[placer.ContainerID]time.Duration{}, owners: map[custody.Caller]*owner{}, peers: map[int]*peer{}}
+	h.lastBid = h.life // bid numbers are unique over all lives
+	var effects []placer.Effect
+	for _, w := range s.Terms.Workloads {
+		effects = append(effects, w.Effect)
+	}
+	h.custody = custody.New(h.life, s.Bounds, effects)
+	h.meter.init()
+	var err error
+	if h.loop, err = loop.New(h.turn); err != nil {
+		return nil, err
+	}
+	h.loop.OnFlushed(func() { h.meter.flushed(h.loop.Clock()) })
+	if h.door, err = h.loop.Listen(s.Door, h.accept, func(err error) {
+		h.log.Warn("caller turned away", "why", err, "connections", h.loop.Conns())
+	}); err != nil {
+		h.loop.Stop()
+		h.loop.Run()
+		return nil, err
+	}
+	return h, nil
+}
+
+// Addr is where owners call.
+func (h *Host) Addr() string { return h.door.Addr().String() }
+
+// Stop ends Run; any goroutine may call it.
+func (h *Host) Stop() { h.loop.Stop() }
+
+// Run serves until Stop.
+func (h *Host) Run() error {
+	h.loop.Post(h.begin)
+	err := h.loop.Run()
+	h.keeper.wait()
+	return err
+}
+
+// begin starts from the list as last held.
+func (h *Host) begin() {
+	h.log.Info("placer up", "name", h.site.Name, "door", h.Addr(), "life", h.life)
+	entries, version, err := h.keeper.load(h.site.Keep, h.loop)
+	if err != nil {
+		h.log.Warn("kept list not used", "why", err)
+	}
+	h.learn(placer.OldList, version, entries)
+	h.loop.After(housekeeping, h.keepHouse)
+}
+
+func (h *Host) tell(e custody.Event) { h.told = append(h.told, e) }
+func (h *Host) feed(e placer.Event)  { h.events = append(h.events, e) }
+
+// turn hands over what came in and carries out what is decided.
+func (h *Host) turn() {
+	now := placer.Time(h.loop.Now())
+	if told := h.told; len(told) > 0 {
+		h.told = nil
+		for _, a := range h.custody.Handle(now, told) {
+			h.see(a)
+		}
+		clear(h.asking)
+	}
+	if events := h.events; len(events) > 0 {
+		h.events = nil
+		began := h.loop.Clock()
+		actions := h.decider.Handle(now, events)
+		h.meter.handled(h.loop.Clock()-began, len(events), len(actions))
+		for _, a := range actions {
+			h.carry(a)
+		}
+	}
+	if len(h.events)+len(h.told) > 0 {
+		h.loop.Again()
+	}
+}
+
+// carry does what the placer module wants done.
+func (h *Host) carry(a placer.Action) {
+	switch a := a.(type) {
+	case placer.Bid:
+		h.offer(a)
+	case placer.PushBack:
+		h.answer(a.ID, &link.Answer{Verdict: link.PushedBack, HoldOff: link.Span(a.HoldOff)})
+	case placer.GiveUp:
+		h.answer(a.ID, &link.Answer{Verdict: link.GivenUp})
+	case placer.Withdraw:
+		if c := h.open[a.ID]; c != nil && c.bid != nil && !c.bid.placed && c.bid.nth == a.Bid {
+			h.callOff(c.bid)
+			h.over(c.bid, placer.Ended{Outcome: placer.Stopped, Over: c.answered})
+		}
+	case placer.Move:
+		if c := h.open[a.ID]; c != nil && c.bid != nil && c.bid.placed {
+			h.callOff(c.bid)
+		}
+	case placer.Probe:
+		h.probe(a.Machine)
+	case placer.Disconnect:
+		if m := h.machines[a.Machine]; m != nil && m.conn != nil && m.idle() {
+			m.conn.Close()
+		}
+	case placer.Wake:
+		h.loop.After(loop.Tick(a.After), func() { h.feed(placer.Woke{Name: a.Name}) })
+	case placer.Tell:
+		h.pass(a)
+	case placer.Watch:
+		h.watch(&link.Watch{On: a.On, Since: h.list.version})
+	case placer.Fetch:
+		h.watch(&link.Fetch{})
+	case placer.Log:
+		h.log.Info("mode", "text", a.Text)
+	}
+}
+
+// see does what custody wants done.
+func (h *Host) see(a custody.Action) {
+	switch a := a.(type) {
+	case custody.Dismiss:
+		if o := h.owners[a.Caller]; o != nil {
+			o.drop(a.Why)
+		}
+	case custody.Pass:
+		h.take(a)
+	case custody.Refuse:
+		h.turnAway(a)
+	case custody.Stands:
+		h.send(a.Caller, &link.Answer{Container: string(a.ID), Verdict: link.Placed, Machine: string(a.Machine),
+			Text: "it runs already"})
+	case custody.CallOff:
+		if m := h.machines[a.Machine]; m != nil && m.ready {
+			m.write(&link.Withdraw{Life: a.Life, Bid: a.Bid})
+		}
+	case custody.Adopt:
+		h.adopt(a.Held)
+	case custody.Lost:
+		if c := h.open[a.ID]; c != nil && c.bid != nil && c.bid.placed {
+			h.over(c.bid, placer.Ended{Outcome: placer.Reset, Over: true})
+		}
+	case custody.Reach:
+		if m := h.machines[a.Machine]; m != nil {
+			h.reach(m)
+		} else {
+			h.tell(custody.NoLink{Machine: a.Machine})
+		}
+	case custody.Wake:
+		h.loop.After(loop.Tick(a.After), func() { h.tell(custody.Woke{}) })
+	case custody.Log:
+		h.log.Info("custody", "text", a.Text)
+	}
+}
+
+// take hands a container that the door lets in to the placer module.
+func (h *Host) take(a custody.Pass) {
+	h.open[a.Ask.ID] = &container{ask: a.Ask, owner: h.owners[a.Caller], came: h.asking[a.Ask.ID],
+		window: link.Span(h.site.Terms.Workloads[a.Ask.Workload].Window)}
+	h.feed(placer.Asked{Ask: a.Ask})
+}
+
+// frame encodes a frame; what it returns holds until the next call.
+func (h *Host) frame(f link.Frame) ([]byte, error) {
+	var err error
+	h.scratch, err = link.Append(h.scratch[:0], f)
+	if cap(h.scratch) > 1<<20 {
+		defer func() { h.scratch = nil }()
+	}
+	return h.scratch, err
+}
+
+// offer sends a bid, at once or as soon as the link stands. What cannot be sent is an outcome of its own.
+func (h *Host) offer(a placer.Bid) {
+	c, m := h.open[a.ID], h.machines[a.Machine]
+	if c == nil {
+		h.log.Error("bid for an unknown container", "container", a.ID)
+		return
+	}
+	if c.bid != nil || m == nil || c.answered {
+		h.feed(placer.Ended{ID: a.ID, Outcome: placer.NotSent, Machine: a.Machine, Bid: c.bids, Over: c.answered})
+		return
+	}
+	now := h.loop.Now()
+	until := loop.Tick(c.ask.Due)
+	if a.MaxWait > 0 {
+		until = min(until, now+loop.Tick(a.MaxWait))
+	}
+	h.lastBid++
+	b := &bid{number: h.lastBid, life: h.life, nth: c.bids, c: c, at: m, sentAt: now, until: until}
+	c.bid = b
+	c.bids++
+	b.timer = h.loop.After(until-now, func() { h.timedOut(b) })
+	if m.ready {
+		m.offer(b)
+		return
+	}
+	m.waiting = append(m.waiting, b)
+	h.reach(m)
+}
+
+func (h *Host) timedOut(b *bid) {
+	b.timer = nil
+	if !b.sent {
+		b.at.forgetWaiting(b)
+		h.over(b, placer.Ended{Outcome: placer.NoConnect})
+		return
+	}
+	h.meter.outcome("timed out")
+	b.at.expectLate(b)
+	h.over(b, placer.Ended{Outcome: placer.TimedOut})
+}
+
+// callOff asks a machine to stop a bid or a container.
+func (h *Host) callOff(b *bid) {
+	b.stopped = true
+	if !b.sent {
+		b.at.forgetWaiting(b)
+		return
+	}
+	if b.at.ready {
+		b.at.write(&link.Withdraw{Life: b.life, Bid: b.number})
+	}
+	if !b.placed {
+		b.at.expectLate(b)
+	}
+}
+
+// over ends a bid with its one outcome; the container goes with it where nothing more is owed.
+func (h *Host) over(b *bid, e placer.Ended) {
+	c, m := b.c, b.at
+	h.loop.Cancel(b.timer)
+	delete(m.bids, b.number)
+	if c.bid != b {
+		return
+	}
+	c.bid = nil
+	e.ID, e.Bid, e.Machine = c.ask.ID, b.nth, m.id
+	e.Took = placer.Time(h.loop.Now() - b.sentAt)
+	e.Over = e.Over || c.answered
+	if b.placed {
+		h.meter.running--
+		if c.owner != nil {
+			c.owner.write(&link.Fate{Container: string(c.ask.ID), Machine: string(m.id),
+				Outcome: wireOutcome(e.Outcome), Reason: link.Reason(e.Reason)})
+		}
+	}
+	h.feed(e)
+	if e.Over {
+		h.close(c)
+	}
+	m.settle()
+}
+
+func (h *Host) close(c *container) {
+	delete(h.open, c.ask.ID)
+	h.tell(custody.Ended{ID: c.ask.ID})
+}
+
+// answer gives an owner the final answer.
+func (h *Host) answer(id placer.ContainerID, a *link.Answer) {
+	c := h.open[id]
+	if c == nil || c.answered {
+		return
+	}
+	c.answered = true
+	a.Container = string(id)
+	h.meter.answered(a.Verdict)
+	if c.owner != nil {
+		c.owner.write(a)
+	}
+	h.tell(custody.Answered{ID: id})
+	if c.bid == nil {
+		h.close(c)
+	}
+}
+
+// yes is a machine's word that a bid's container runs, or is accepted where that is what counts.
+func (h *Host) yes(b *bid) {
+	c := b.c
+	h.loop.Cancel(b.timer)
+	b.timer, b.placed = nil, true
+	h.meter.running++
+	h.tell(custody.Placed{ID: c.ask.ID, Machine: b.at.id, Bid: b.number})
+	if c.answered { // too late for its owner: what runs stays known until it ends
+		h.tell(custody.LateYes{Held: b.held()})
+		return
+	}
+	c.answered = true
+	h.meter.answered(link.Placed)
+	h.feed(placer.Placed{ID: c.ask.ID, Bid: b.nth, Machine: b.at.id, Took: placer.Time(h.loop.Now() - b.sentAt)})
+	if c.owner != nil {
+		c.owner.write(&link.Answer{Container: string(c.ask.ID), Verdict: link.Placed, Machine: string(b.at.id)})
+	}
+}
+
+func (b *bid) held() custody.Held {
+	return custody.Held{Ask: b.c.ask, Machine: b.at.id, Life: b.life, Bid: b.number, Running: true}
+}
+
+// adopt takes over a container that runs.
+func (h *Host) adopt(held custody.Held) {
+	m := h.machines[held.Machine]
+	if m == nil || h.open[held.Ask.ID] != nil {
+		return
+	}
+	c := &container{ask: held.Ask, answered: true, bids: 1}
+	b := &bid{number: held.Bid, life: held.Life, c: c, at: m, sentAt: h.loop.Now(), sent: true, placed: true}
+	c.bid, m.bids[held.Bid] = b, b
+	h.open[held.Ask.ID] = c
+	h.meter.running++
+	h.meter.adopted++
+	h.feed(placer.TookOver{Ask: held.Ask, Machine: m.id})
+}
+
+// keepHouse closes what is idle, silent or half said.
+func (h *Host) keepHouse() {
+	now := h.loop.Now()
+	for _, m := range h.machines {
+		m.house(now)
+	}
+	for _, o := range h.owners {
+		o.house(now)
+	}
+	h.list.house(now)
+	h.loop.After(housekeeping, h.keepHouse)
+}
+
+func outcomeOf(r *link.Result) placer.Outcome {
+	switch r.Outcome {
+	case link.Finished:
+		return placer.Finished
+	case link.Erred:
+		return placer.Erred
+	case link.Full:
+		return placer.Full
+	case link.Stopped:
+		return placer.Stopped
+	}
+	return placer.Reset
+}
+
+func wireOutcome(o placer.Outcome) link.Outcome {
+	switch o {
+	case placer.Finished:
+		return link.Finished
+	case placer.Erred:
+		return link.Erred
+	case placer.Stopped:
+		return link.Stopped
+	}
+	return link.Lost
+}
+
+func (h *Host) badLink(peer string, why error) {
+	h.log.Warn("link closed", "peer", peer, "why", fmt.Sprint(why))
+}
--- /dev/null
+++ b/internal/host/machine.go
@@ -0,0 +1,318 @@
+package host
+
+import (
+	"fmt"
+
+	"glenport/internal/custody"
+	"glenport/internal/link"
+	"glenport/internal/loop"
+	"glenport/placer"
+)
+
+// machine is one that the list has named, with the one link to it that all bids share.
+type machine struct {
+	h           *Host
+	id          placer.MachineID
+	addr        string
+	gone        bool
+	incarnation uint64
+	startedAt   placer.Time
+
+	conn    *loop.Conn
+	reader  link.Reader
+	ready   bool // it has greeted and said what it holds
+	heardAt loop.Tick
+	usedAt  loop.Tick
+	halfAt  loop.Tick             // since when half a frame waits
+	waiting []*bid                // for the link
+	bids    map[uint64]*bid       // out, or running there
+	late    map[uint64]placer.Ask // of bids that are over and may still be said yes to; emptied after a minute
+	probes  map[uint64]*probing   // emptied by their answer or time-out
+}
+
+type probing struct {
+	seq    uint64
+	sent   bool
+	timer  *loop.Timer
+	sentAt loop.Tick
+}
+
+func (h *Host) machine(id placer.MachineID) *machine {
+	m := h.machines[id]
+	if m == nil {
+		m = &machine{h: h, id: id, bids: map[uint64]*bid{}, late: map[uint64]placer.Ask{}, probes: map[uint64]*probing{}}
+		h.machines[id] = m
+	}
+	return m
+}
+
+func (m *machine) idle() bool { return len(m.waiting)+len(m.bids)+len(m.probes) == 0 }
+
+// settle lets go of a machine that is gone and empty.
+func (m *machine) settle() {
+	if m.gone && m.idle() {
+		if m.conn != nil {
+			m.conn.Close()
+		}
+		delete(m.h.machines, m.id)
+	}
+}
+
+// reach opens the link where there is none.
+func (h *Host) reach(m *machine) {
+	if m.conn != nil {
+		return
+	}
+	m.reader, m.ready = link.Reader{}, false
+	m.heardAt, m.usedAt = h.loop.Now(), h.loop.Now()
+	m.conn = h.loop.Dial(m.addr, m, h.site.Output, h.site.Connect)
+	conn := m.conn
+	h.loop.After(3*h.site.Connect, func() {
+		if m.conn == conn && !m.ready {
+			conn.Reset() // it took the call and did not greet
+		}
+	})
+}
+
+func (m *machine) Opened(*loop.Conn) { m.write(link.Greeting(link.Placer, m.h.site.Name, m.h.life)) }
+
+func (m *machine) Read(c *loop.Conn, p []byte) {
+	m.heardAt = m.h.loop.Now()
+	if err := m.reader.Feed(p, m.take); err != nil && c == m.conn {
+		m.h.badLink(string(m.id), err)
+		m.write(&link.Bye{Text: err.Error()})
+		c.Close()
+	}
+	if m.reader.Half() == 0 {
+		m.halfAt = 0
+	} else if m.halfAt == 0 {
+		m.halfAt = m.heardAt
+	}
+}
+
+// Closed ends what was under way. A bid that was never sent never ran; one that was may have. Containers that
+// run are custody's matter.
+func (m *machine) Closed(c *loop.Conn, why error) {
+	if c != m.conn {
+		return
+	}
+	was := m.ready
+	m.conn, m.ready = nil, false
+	waiting := m.waiting
+	m.waiting = nil
+	for _, b := range waiting {
+		m.h.meter.outcome("no connection")
+		m.h.over(b, placer.Ended{Outcome: placer.NoConnect})
+	}
+	for _, b := range ordered(m.bids) {
+		if !b.placed {
+			m.h.meter.outcome("reset")
+			m.h.over(b, placer.Ended{Outcome: placer.Reset})
+		}
+	}
+	for _, p := range m.probes {
+		if was {
+			m.probed(p, placer.Reset, nil)
+		} else {
+			m.probed(p, placer.NoConnect, nil)
+		}
+	}
+	clear(m.late) // what it runs it will say when the link stands again
+	if was {
+		m.h.tell(custody.Broke{Machine: m.id})
+	} else {
+		m.h.tell(custody.NoLink{Machine: m.id})
+	}
+	m.settle()
+}
+
+// write sends a frame; it reports whether the link took it.
+func (m *machine) write(f link.Frame) bool {
+	if m.conn == nil {
+		return false
+	}
+	p, err := m.h.frame(f)
+	if err != nil {
+		m.h.log.Error("frame not sent", "machine", m.id, "why", err)
+		return false
+	}
+	m.usedAt = m.h.loop.Now()
+	return m.conn.Write(p) == nil
+}
+
+func (m *machine) offer(b *bid) {
+	a, now := &b.c.ask, m.h.loop.Now()
+	b.sent = m.write(&link.Offer{Bid: b.number, Wait: link.Span(b.until - now), Work: link.Work{
+		Container: string(a.ID), Key: a.Key, Service: a.Service, Workload: a.Workload, Customer: a.Customer,
+		Cores: a.Cores, Memory: a.Memory, Window: b.c.window, RunFor: link.Span(a.Life), Again: a.Again}})
+	if !b.sent { // the machine takes too little of what waits for it
+		m.h.meter.outcome("not sent")
+		m.h.over(b, placer.Ended{Outcome: placer.NotSent})
+		return
+	}
+	m.bids[b.number] = b
+	m.h.meter.bid(b.c)
+}
+
+func (m *machine) forgetWaiting(b *bid) {
+	for i, w := range m.waiting {
+		if w == b {
+			m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+			return
+		}
+	}
+}
+
+// expectLate remembers a bid that is over and may be said yes to.
+func (m *machine) expectLate(b *bid) {
+	n := b.number
+	m.late[n] = b.c.ask
+	m.h.loop.After(lateFor, func() { delete(m.late, n) })
+}
+
+// take handles a frame of the machine.
+func (m *machine) take(f link.Frame) error {
+	switch f := f.(type) {
+	case *link.Hello:
+		if f.Role != link.Machine || f.Name != string(m.id) {
+			return fmt.Errorf("%s %q answers where machine %s was called", f.Role, f.Name, m.id)
+		}
+	case *link.Holds:
+		return m.holds(f)
+	case *link.Yes:
+		m.yes(f)
+	case *link.Result:
+		m.result(f)
+	case *link.Note:
+		if b := m.bids[f.Bid]; b != nil {
+			m.h.feed(placer.Noted{ID: b.c.ask.ID, Machine: m.id, Bid: b.nth, Sort: placer.NoteSort(f.Sort), Amount: f.Amount})
+		}
+	case *link.Probed:
+		if p := m.probes[f.Seq]; p != nil {
+			m.probed(p, placer.Finished, f.Report)
+		}
+	case *link.Beat:
+	case *link.Bye:
+		return fmt.Errorf("machine says: %s", f.Text)
+	default:
+		return fmt.Errorf("%T is not for a placer", f)
+	}
+	return nil
+}
+
+// holds makes the link ready. The machine's word comes before anything that waited.
+func (m *machine) holds(f *link.Holds) error {
+	if m.ready {
+		return fmt.Errorf("says twice what it holds")
+	}
+	e := custody.Holds{Machine: m.id}
+	for _, k := range f.Held {
+		w := &k.Work
+		e.Held = append(e.Held, custody.Held{Machine: m.id, Life: k.Life, Bid: k.Bid, Running: k.Running,
+			Ask: placer.Ask{ID: placer.ContainerID(w.Container), Key: w.Key, Service: w.Service, Workload: w.Workload,
+				Customer: w.Customer, Cores: w.Cores, Memory: w.Memory, Life: placer.Time(w.RunFor), Again: w.Again}})
+	}
+	m.h.tell(e)
+	m.ready = true
+	for _, b := range ordered(m.bids) {
+		if b.stopped {
+			m.write(&link.Withdraw{Life: b.life, Bid: b.number})
+		}
+	}
+	waiting := m.waiting
+	m.waiting = nil
+	for _, b := range waiting {
+		m.offer(b)
+	}
+	for _, p := range m.probes {
+		if !p.sent {
+			p.sent = m.write(&link.Probe{Seq: p.seq})
+		}
+	}
+	return nil
+}
+
+func (m *machine) yes(f *link.Yes) {
+	if m.h.site.Terms.YesRuns && !f.Running {
+		return
+	}
+	if b := m.bids[f.Bid]; b != nil {
+		switch {
+		case !b.placed:
+			m.h.yes(b)
+		case f.Running: // accepted before
+			m.h.feed(placer.Noted{ID: b.c.ask.ID, Machine: m.id, Bid: b.nth, Sort: placer.Running, Amount: 1})
+		}
+		return
+	}
+	if ask, ok := m.late[f.Bid]; ok {
+		delete(m.late, f.Bid)
+		m.h.meter.outcome("late yes")
+		m.h.tell(custody.LateYes{Held: custody.Held{Ask: ask, Machine: m.id, Life: m.h.life, Bid: f.Bid, Running: true}})
+	}
+}
+
+func (m *machine) result(f *link.Result) {
+	delete(m.late, f.Bid)
+	b := m.bids[f.Bid]
+	if b == nil {
+		return
+	}
+	o := outcomeOf(f)
+	if !b.placed {
+		m.h.meter.outcome(f.Outcome.String())
+	}
+	m.h.over(b, placer.Ended{Outcome: o, Reason: placer.Reason(f.Reason), Report: f.Report, Over: b.placed})
+}
+
+func (h *Host) probe(id placer.MachineID) {
+	m := h.machines[id]
+	if m == nil {
+		h.feed(placer.Probed{Machine: id, Outcome: placer.NoConnect})
+		return
+	}
+	h.lastSeq++
+	p := &probing{seq: h.lastSeq, sentAt: h.loop.Now()}
+	m.probes[p.seq] = p
+	p.timer = h.loop.After(probeWithin, func() { m.probed(p, placer.TimedOut, nil) })
+	if m.ready {
+		p.sent = m.write(&link.Probe{Seq: p.seq})
+	} else {
+		h.reach(m)
+	}
+}
+
+func (m *machine) probed(p *probing, o placer.Outcome, r map[string]float64) {
+	if m.probes[p.seq] != p {
+		return
+	}
+	delete(m.probes, p.seq)
+	m.h.loop.Cancel(p.timer)
+	m.h.feed(placer.Probed{Machine: m.id, Outcome: o, Took: placer.Time(m.h.loop.Now() - p.sentAt), Report: r})
+}
+
+// house closes the link when nothing has used it for long, when it is silent though something is due, or when
+// half a frame is not followed by the rest.
+func (m *machine) house(now loop.Tick) {
+	if m.conn == nil {
+		return
+	}
+	s := m.h.site
+	switch {
+	case m.idle() && now-m.usedAt > s.Idle:
+		m.conn.Close()
+	case now-m.heardAt > s.Silent, m.halfAt > 0 && now-m.halfAt > s.Silent:
+		m.h.badLink(string(m.id), fmt.Errorf("nothing whole heard for %d ms", (now-m.heardAt)/loop.Millisecond))
+		m.conn.Reset()
+	}
+}
+
+// ordered gives bids in the order they were sent.
+func ordered(bids map[uint64]*bid) []*bid {
+	all := make([]*bid, 0, len(bids))
+	for _, b := range bids {
+		all = append(all, b)
+	}
+	sortBids(all)
+	return all
+}
--- /dev/null
+++ b/internal/host/meter.go
@@ -0,0 +1,102 @@
+package host
+
+import (
+	"runtime"
+	"time"
+
+	"glenport/internal/link"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// meter counts what a host does. Its tables are as long as there are sorts of outcomes.
+type meter struct {
+	submitted int
+	running   int
+	adopted   int
+	unheard   int // answers to owners that were gone
+	bids      int
+	answers   [5]int // by verdict
+	outcomes  map[string]int
+	batches   int
+	events    int
+	actions   int
+	handling  time.Duration
+	sent      []time.Duration // when the containers came whose first bid goes out this turn
+	placing   *hdrhistogram.Histogram
+	slowest   time.Duration // one call of Handle
+}
+
+func (m *meter) init() {
+	m.outcomes = map[string]int{}
+	m.placing = hdrhistogram.New(1, 60_000_000, 3) // microseconds, to a minute
+}
+
+func (m *meter) outcome(name string) { m.outcomes[name]++ }
+
+func (m *meter) answered(v link.Verdict) { m.answers[v]++ }
+
+func (m *meter) bid(c *container) {
+	m.bids++
+	if c.bids == 1 {
+		m.sent = append(m.sent, c.came)
+	}
+}
+
+// flushed notes how long first bids took from their submission to the socket.
+func (m *meter) flushed(now time.Duration) {
+	for _, came := range m.sent {
+		m.placing.RecordValue(max(1, (now - came).Microseconds()))
+	}
+	m.sent = m.sent[:0]
+}
+
+func (m *meter) handled(took time.Duration, events, actions int) {
+	m.batches++
+	m.events += events
+	m.actions += actions
+	m.handling += took
+	m.slowest = max(m.slowest, took)
+}
+
+func (h *Host) status() *link.Status {
+	s := &link.Status{Name: h.site.Name}
+	put := func(name string, v float64, unit string) {
+		s.Figures = append(s.Figures, link.Figure{Name: name, Value: v, Unit: unit})
+	}
+	m := &h.meter
+	turns, busy := h.loop.Turns()
+	put("up", h.loop.Clock().Seconds(), "s")
+	put("machines known", float64(len(h.machines)), "")
+	put("list version", float64(h.list.version), "")
+	put("owners", float64(len(h.owners)), "")
+	put("connections", float64(h.loop.Conns()), "")
+	put("timers", float64(h.loop.Timers()), "")
+	put("containers known", float64(len(h.open)), "")
+	put("containers running", float64(m.running), "")
+	put("containers taken over", float64(m.adopted), "")
+	put("submissions", float64(m.submitted), "")
+	for v := link.Placed; v <= link.TurnedAway; v++ {
+		put(v.String(), float64(m.answers[v]), "")
+	}
+	put("answers nobody heard", float64(m.unheard), "")
+	put("bids", float64(m.bids), "")
+	for _, name := range []string{"full", "erred", "stopped", "lost", "timed out", "late yes", "no connection", "reset", "not sent"} {
+		put("bids "+name, float64(m.outcomes[name]), "")
+	}
+	for _, q := range []float64{50, 99, 99.9, 100} {
+		put(map[float64]string{50: "placing p50", 99: "placing p99", 99.9: "placing p99.9", 100: "placing worst"}[q],
+			float64(m.placing.ValueAtQuantile(q))/1000, "ms")
+	}
+	put("turns", float64(turns), "")
+	put("batches", float64(m.batches), "")
+	put("events", float64(m.events), "")
+	put("busy", busy.Seconds(), "s")
+	put("deciding", m.handling.Seconds(), "s")
+	put("slowest decision", m.slowest.Seconds()*1000, "ms")
+	var mem runtime.MemStats
+	runtime.ReadMemStats(&mem)
+	put("heap in use", float64(mem.HeapAlloc)/(1<<20), "MiB")
+	put("goroutines", float64(runtime.NumGoroutine()), "")
+	return s
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -46,6 +46,9 @@
 	now         Tick
 	wheel       *Wheel
 	turn        func()
+	flushed     func()
+	busy        time.Duration
+	turns       int
 	again       bool
 	byFD        map[int]served
 	dirty       []*Conn
@@ -106,6 +109,12 @@
 
 func (l *Loop) Cancel(t *Timer) { l.wheel.Cancel(t) }
 
+// OnFlushed runs f at the end of each turn, when what the turn had to write was written as far as it goes.
+func (l *Loop) OnFlushed(f func()) { l.flushed = f }
+
+// Turns is the number of turns so far, and the time spent in them, waiting aside.
+func (l *Loop) Turns() (int, time.Duration) { return l.turns, l.busy }
+
 // Again makes the next turn come at once.
 func (l *Loop) Again() { l.again = true }
 
@@ -137,6 +146,7 @@
 		if err != nil && err != unix.EINTR {
 			return fmt.Errorf("epoll: %w", err)
 		}
+		began := time.Since(l.started)
 		l.again = false
 		l.now = max(l.now, l.base+Tick(time.Since(l.started).Microseconds()/100))
 		l.takeMail()
@@ -150,6 +160,11 @@
 			l.turn()
 		}
 		l.flush()
+		if l.flushed != nil {
+			l.flushed()
+		}
+		l.turns++
+		l.busy += time.Since(l.started) - began
 	}
 	return nil
 }
