--- /dev/null
+++ b/cmd/glenport-lab/main.go
@@ -0,0 +1,163 @@
+// Command glenport-lab brings up clusters of stand-ins on loopback, plays bad days on them with real placers and
+// judges what passed over the sockets.
+package main
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime"
+	"syscall"
+
+	"glenport/internal/audit"
+	"glenport/internal/host"
+	"glenport/internal/lab"
+	"glenport/internal/sabotage"
+	"glenport/internal/site"
+	"glenport/placer"
+
+	"github.com/spf13/cobra"
+)
+
+var errNotHeld = errors.New("not held")
+
+func main() {
+	root := &cobra.Command{Use: "glenport-lab", Short: "Stand-ins, bad days and their audit, on loopback",
+		SilenceUsage: true, SilenceErrors: true}
+	root.AddCommand(dayCommand(), auditCommand(), replayCommand(), loadCommand(), placerCommand())
+	if err := root.Execute(); errors.Is(err, errNotHeld) {
+		os.Exit(1)
+	} else if err != nil {
+		fmt.Fprintln(os.Stderr, "glenport-lab:", err)
+		os.Exit(2)
+	}
+}
+
+// folder is where a day's record and logs go: one that was named, or a new one that is removed again.
+func folder(named string) (dir string, done func(), err error) {
+	if named != "" {
+		return named, func() {}, os.MkdirAll(named, 0o755)
+	}
+	dir, err = os.MkdirTemp("", "glenport-day-")
+	return dir, func() { os.RemoveAll(dir) }, err
+}
+
+// placerProgram is glenport itself, from beside this program; with sabotage it is this program's own host.
+func placerProgram(rule int) ([]string, error) {
+	own, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	if rule > 0 {
+		return []string{own, "placer", "--sabotage", fmt.Sprint(rule)}, nil
+	}
+	p := filepath.Join(filepath.Dir(own), "glenport")
+	if _, err := os.Stat(p); err != nil {
+		return nil, fmt.Errorf("glenport is to stand beside glenport-lab: %w", err)
+	}
+	return []string{p, "placer"}, nil
+}
+
+func play(d *lab.Day, dir string, rule int) error {
+	program, err := placerProgram(rule)
+	if err != nil {
+		return err
+	}
+	dir, done, err := folder(dir)
+	if err != nil {
+		return err
+	}
+	defer done()
+	o, err := d.Run(dir, program, os.Stdout)
+	if err != nil {
+		return err
+	}
+	o.Print(os.Stdout)
+	if !o.Held() {
+		return errNotHeld
+	}
+	return nil
+}
+
+func dayCommand() *cobra.Command {
+	var dir string
+	var rule int
+	c := &cobra.Command{Use: "day FILE", Short: "Play a day's troubles on a cluster and judge its record", Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			d, err := lab.LoadDay(args[0])
+			if err != nil {
+				return err
+			}
+			return play(d, dir, rule)
+		}}
+	c.Flags().StringVar(&dir, "dir", "", "folder to keep the record and the logs in")
+	c.Flags().IntVar(&rule, "sabotage", 0, "break this rule on purpose, 1 to 5")
+	return c
+}
+
+func auditCommand() *cobra.Command {
+	return &cobra.Command{Use: "audit RECORD", Short: "Judge a record alone", Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			j, err := audit.Record(args[0])
+			if err != nil {
+				return err
+			}
+			fmt.Printf("%d frames, %d submissions, %d offers\n", j.Frames, j.Submitted, j.Offers)
+			lab.PrintFindings(os.Stdout, j)
+			if !j.Kept() {
+				return errNotHeld
+			}
+			fmt.Println("rules: kept")
+			return nil
+		}}
+}
+
+func replayCommand() *cobra.Command {
+	var dir, template string
+	var rate float64
+	c := &cobra.Command{Use: "replay DAY.json", Short: "Play the kinds of trouble of a simulated day, scaled down, on real placers",
+		Args: cobra.ExactArgs(1), RunE: func(_ *cobra.Command, args []string) error {
+			d, err := lab.LoadReplay(args[0], template, rate, os.Stdout)
+			if err != nil {
+				return err
+			}
+			return play(d, dir, 0)
+		}}
+	c.Flags().StringVar(&dir, "dir", "", "folder to keep the record and the logs in")
+	c.Flags().StringVar(&template, "day", "days/bad-day.yaml", "day file that gives the cluster")
+	c.Flags().Float64Var(&rate, "rate", 150, "submissions a second at the day's mean load")
+	return c
+}
+
+// placerCommand runs a placer of the product's host, with or without one rule broken.
+func placerCommand() *cobra.Command {
+	var file string
+	var rule int
+	c := &cobra.Command{Use: "placer", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
+		s, err := site.Load(file)
+		if err != nil {
+			return err
+		}
+		var d host.Decider = placer.New(s.Terms)
+		if rule > 0 {
+			if d, err = sabotage.New(rule, s.Terms, d); err != nil {
+				return err
+			}
+		}
+		h, err := host.New(s, d, slog.New(slog.NewTextHandler(os.Stderr, nil)))
+		if err != nil {
+			return err
+		}
+		told := make(chan os.Signal, 1)
+		signal.Notify(told, syscall.SIGINT, syscall.SIGTERM)
+		go func() { <-told; h.Stop() }()
+		runtime.LockOSThread()
+		return h.Run()
+	}}
+	c.Flags().StringVarP(&file, "config", "c", "", "the placer's file")
+	c.Flags().IntVar(&rule, "sabotage", 0, "rule to break")
+	return c
+}
--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,507 @@
+// Package audit judges the five rules from a record of what passed over the sockets, and from nothing else.
+package audit
+
+import (
+	"fmt"
+	"sort"
+
+	"glenport/internal/link"
+	"glenport/internal/tap"
+	"glenport/placer"
+)
+
+// Finding is one break of a rule.
+type Finding struct {
+	Rule   int
+	At     int64 // tenths of a millisecond since the record's start
+	Text   string
+	Frames []string // those that show it
+}
+
+func (f Finding) String() string {
+	s := fmt.Sprintf("rule %d at %.1f ms: %s", f.Rule, float64(f.At)/10, f.Text)
+	for _, x := range f.Frames {
+		s += "\n    " + x
+	}
+	return s
+}
+
+// Judgement is the outcome of an audit.
+type Judgement struct {
+	Findings  []Finding
+	Frames    int
+	Submitted int
+	Answers   [5]int // by verdict
+	Offers    int
+	Unheard   int // submissions whose placer or link ended before an answer was due
+	Running   int // yeses
+	ColdMost  int // offers in a window that came nearest to a cold machine's budget
+	ColdBound int
+	DrainLate float64 // ms after hearing of a drain at which the last offer went out
+}
+
+// Kept tells whether no rule was broken.
+func (j *Judgement) Kept() bool { return len(j.Findings) == 0 }
+
+// mostFindings of one rule are kept.
+const mostFindings = 20
+
+type judge struct {
+	Judgement
+	h       tap.Header
+	found   map[int]int
+	placers map[string]*life
+	links   map[uint32]*channel
+	starts  map[string]*coldStart // by machine and incarnation
+	ran     map[string]*offer     // at-most-once work that ran, by key
+	now     int64
+}
+
+// life is one life of a placer, as seen from outside.
+type life struct {
+	name       string
+	containers map[string]*container
+	machines   map[string]*listed
+	held       map[*offer]bool // out, or running
+	adopted    map[string]*offer
+}
+
+type listed struct {
+	link.Entry
+	shutAt int64 // when the placer was told that it drains or is gone; 0: it serves
+}
+
+type container struct {
+	name     string
+	asked    int64
+	due      int64
+	link     uint32
+	answers  int
+	verdict  link.Verdict
+	answerAt int64
+	offers   []*offer
+	dropped  bool // its link or placer ended: nothing is owed
+	work     link.Work
+	cancel   bool
+}
+
+type offer struct {
+	at      int64
+	bid     uint64
+	machine string
+	link    uint32
+	until   int64 // its wait
+	work    link.Work
+	never   bool // it provably never ran
+	ended   bool // an outcome came
+	yes     bool
+	c       *container
+	text    string
+}
+
+type channel struct {
+	far    link.Role
+	name   string
+	placer string
+	offers map[uint64]*offer
+}
+
+type coldStart struct {
+	machine string
+	began   int64
+	told    map[string]bool
+	offers  []int64
+}
+
+// Record judges a record in a file.
+func Record(path string) (*Judgement, error) {
+	j := &judge{found: map[int]int{}, placers: map[string]*life{}, links: map[uint32]*channel{},
+		starts: map[string]*coldStart{}, ran: map[string]*offer{}}
+	err := tap.Read(path, &j.h, func(e *tap.Entry) error {
+		j.now = e.At
+		return j.entry(e)
+	})
+	if err != nil {
+		return nil, err
+	}
+	j.finish()
+	return &j.Judgement, nil
+}
+
+func (j *judge) fail(rule int, at int64, frames []string, format string, a ...any) {
+	if j.found[rule]++; j.found[rule] <= mostFindings {
+		j.Findings = append(j.Findings, Finding{rule, at, fmt.Sprintf(format, a...), frames})
+	}
+}
+
+func (j *judge) life(name string) *life {
+	l := j.placers[name]
+	if l == nil {
+		l = &life{name: name, containers: map[string]*container{}, machines: map[string]*listed{},
+			held: map[*offer]bool{}, adopted: map[string]*offer{}}
+		j.placers[name] = l
+	}
+	return l
+}
+
+func (j *judge) entry(e *tap.Entry) error {
+	switch e.Sort {
+	case tap.Opened:
+		j.links[e.Link] = &channel{far: e.Far, name: e.Name, placer: e.Placer, offers: map[uint64]*offer{}}
+		return nil
+	case tap.Closed:
+		j.closed(e)
+		return nil
+	case tap.Killed:
+		if l := j.placers[e.Placer]; l != nil {
+			for _, c := range l.containers {
+				j.drop(c)
+			}
+		}
+		delete(j.placers, e.Placer)
+		return nil
+	case tap.Started, tap.Lost:
+		return nil
+	}
+	j.Frames++
+	f, err := e.Decoded()
+	if err != nil {
+		return fmt.Errorf("at %d: %w", e.At, err)
+	}
+	ch := j.links[e.Link]
+	if ch == nil {
+		return fmt.Errorf("at %d: a frame on link %d, which was never opened", e.At, e.Link)
+	}
+	l := j.life(e.Placer)
+	switch f := f.(type) {
+	case *link.Submit:
+		j.submitted(l, e, f)
+	case *link.Cancel:
+		if c := l.containers[f.Container]; c != nil {
+			c.cancel = true
+		}
+	case *link.Answer:
+		j.answered(l, e, f)
+	case *link.Offer:
+		j.offered(l, e, ch, f)
+	case *link.Probe:
+		j.cold(l, e)
+	case *link.Yes:
+		if o := ch.offers[f.Bid]; o != nil && f.Running {
+			j.Running++
+			j.began(l, o)
+		}
+	case *link.Result:
+		j.result(l, ch, f)
+	case *link.Listed:
+		j.list(l, e, f)
+	case *link.Holds:
+		j.holds(l, e, ch, f)
+	}
+	return nil
+}
+
+// closed ends what the link's offers wait for. What ran behind it may still run; it counts again when its
+// machine says so on the next link.
+func (j *judge) closed(e *tap.Entry) {
+	ch := j.links[e.Link]
+	if ch == nil {
+		return
+	}
+	delete(j.links, e.Link)
+	l := j.life(e.Placer)
+	for _, o := range ch.offers {
+		o.ended = true
+		delete(l.held, o)
+	}
+	if ch.far == link.Owner {
+		for _, c := range l.containers {
+			if c.link == e.Link {
+				j.drop(c)
+			}
+		}
+	}
+}
+
+func (j *judge) drop(c *container) {
+	if c.answers == 0 && !c.dropped {
+		if j.now > c.due+j.grace() {
+			j.lost(c)
+		} else {
+			j.Unheard++
+		}
+	}
+	c.dropped = true
+}
+
+func (j *judge) grace() int64 { return int64(j.h.Terms.AnswerGrace + j.h.Slack) }
+
+func (j *judge) lost(c *container) {
+	frames := []string{fmt.Sprintf("%.1f ms submit %s, due in %.1f ms", float64(c.asked)/10, c.name, float64(c.due-c.asked)/10)}
+	for _, o := range c.offers {
+		frames = append(frames, o.text)
+	}
+	j.fail(1, c.due, frames, "container %s has no final answer", c.name)
+}
+
+func (j *judge) submitted(l *life, e *tap.Entry, f *link.Submit) {
+	j.Submitted++
+	if c := l.containers[f.Work.Container]; c != nil && c.answers == 0 {
+		return // asked twice under one id; the first is owed
+	}
+	l.containers[f.Work.Container] = &container{name: f.Work.Container, asked: e.At, due: e.At + int64(f.Left), link: e.Link,
+		work: f.Work}
+}
+
+// answered holds the answer against rules 1 and 2.
+func (j *judge) answered(l *life, e *tap.Entry, f *link.Answer) {
+	c := l.containers[f.Container]
+	if c == nil {
+		j.fail(1, e.At, nil, "an answer for %s, which was not asked of %s", f.Container, l.name)
+		return
+	}
+	j.Answers[f.Verdict]++
+	c.answers++
+	said := fmt.Sprintf("%.1f ms answer %s: %s", float64(e.At)/10, c.name, f.Verdict)
+	if c.answers > 1 {
+		if f.Verdict == link.TurnedAway { // the second of one id
+			c.answers--
+			return
+		}
+		j.fail(1, e.At, []string{said}, "container %s has %d answers", c.name, c.answers)
+	}
+	if e.At > c.due+j.grace() {
+		j.fail(1, e.At, []string{said}, "container %s is answered %.1f ms after its hard stop", c.name, float64(e.At-c.due)/10)
+	}
+	c.verdict, c.answerAt = f.Verdict, e.At
+	if f.Verdict != link.PushedBack {
+		return
+	}
+	w, ok := j.workload(c.work.Workload)
+	for _, o := range c.offers {
+		if ok && !o.never && (w.Effect == placer.AtMostOnce || w.Effect == placer.Numbered && w.Repeats != placer.Everywhere) {
+			j.fail(2, e.At, []string{o.text, said}, "container %s is pushed back though it may have run", c.name)
+			return
+		}
+	}
+}
+
+func (j *judge) workload(i int) (placer.Workload, bool) {
+	if i < len(j.h.Terms.Workloads) {
+		return j.h.Terms.Workloads[i], true
+	}
+	return placer.Workload{}, false
+}
+
+func (j *judge) offered(l *life, e *tap.Entry, ch *channel, f *link.Offer) {
+	j.Offers++
+	o := &offer{at: e.At, bid: f.Bid, machine: ch.name, link: e.Link, until: e.At + int64(f.Wait), work: f.Work,
+		text: fmt.Sprintf("%.1f ms %s offers %s to %s, bid %d, wait %.1f ms", float64(e.At)/10, l.name, f.Work.Container,
+			ch.name, f.Bid, float64(f.Wait)/10)}
+	c := l.containers[f.Work.Container]
+	if c == nil {
+		j.fail(1, e.At, []string{o.text}, "container %s was not asked of %s", f.Work.Container, l.name)
+		c = &container{name: f.Work.Container, work: f.Work, dropped: true}
+		l.containers[c.name] = c
+	}
+	o.c = c
+	slack := int64(j.h.Slack)
+	if c.answers > 0 && e.At > c.answerAt+slack {
+		j.fail(1, e.At, []string{o.text}, "container %s is sent after its answer, %s at %.1f ms", c.name, c.verdict, float64(c.answerAt)/10)
+	}
+	w, known := j.workload(f.Work.Workload)
+	if !known {
+		j.fail(1, e.At, []string{o.text}, "workload %d is unknown", f.Work.Workload)
+		return
+	}
+	for _, p := range c.offers {
+		if !p.ended && !p.never && e.At < p.until-slack {
+			j.fail(2, e.At, []string{p.text, o.text}, "container %s has two bids out", c.name)
+		}
+		if p.never {
+			continue
+		}
+		switch {
+		case w.Effect == placer.AtMostOnce:
+			j.fail(2, e.At, []string{p.text, o.text}, "at-most-once %s is sent again though it may have run", c.name)
+		case w.Effect == placer.Numbered && !l.shares(p.machine, o.machine, w.Repeats):
+			j.fail(2, e.At, []string{p.text, o.text}, "numbered %s leaves the group that drops its repeats", c.name)
+		case w.Effect == placer.Numbered && e.At > p.at+int64(w.Window)+slack:
+			j.fail(2, e.At, []string{p.text, o.text}, "numbered %s is sent after its window", c.name)
+		}
+	}
+	if m := l.machines[o.machine]; m != nil && m.shutAt > 0 {
+		j.DrainLate = max(j.DrainLate, float64(e.At-m.shutAt)/10)
+		if e.At > m.shutAt+int64(j.h.DrainGrace)+slack {
+			j.fail(3, e.At, []string{o.text}, "%s is told at %.1f ms that %s is %s", l.name, float64(m.shutAt)/10, o.machine, m.State)
+		}
+	}
+	j.cold(l, e)
+	c.offers = append(c.offers, o)
+	ch.offers[f.Bid] = o
+	l.held[o] = true
+	j.spread(l, o, w)
+}
+
+// cold counts what a machine is offered after a start that the sender was told of.
+func (j *judge) cold(l *life, e *tap.Entry) {
+	t := &j.h.Terms
+	m := l.machines[e.Name]
+	if m == nil {
+		return
+	}
+	s := j.starts[startName(m)]
+	if s == nil || !s.told[l.name] || e.At >= s.began+int64(t.ColdFor) {
+		return
+	}
+	s.offers = append(s.offers, e.At)
+	for s.offers[0] <= e.At-int64(t.ColdWindow) {
+		s.offers = s.offers[1:]
+	}
+	n := len(s.offers)
+	j.ColdMost, j.ColdBound = max(j.ColdMost, n), t.ColdBids
+	if n > t.ColdBids {
+		j.fail(4, e.At, nil, "cold machine %s, up since %.1f ms, is offered %d in %.1f ms, and bears %d; the last by %s",
+			e.Name, float64(s.began)/10, n, float64(t.ColdWindow)/10, t.ColdBids, l.name)
+	}
+}
+
+func startName(m *listed) string { return fmt.Sprint(m.Machine, "/", m.Incarnation) }
+
+// spread counts what the placer holds of the service in the place of this offer, this offer included.
+func (j *judge) spread(l *life, o *offer, w placer.Workload) {
+	if w.Spread == placer.Nowhere {
+		return
+	}
+	n := 0
+	var frames []string
+	for p := range l.held {
+		if p.work.Service != o.work.Service || !l.shares(p.machine, o.machine, w.Spread) {
+			continue
+		}
+		if !p.yes && p != o && j.now >= p.until-int64(j.h.Slack) { // its wait is over
+			continue
+		}
+		n++
+		frames = append(frames, p.text)
+	}
+	if n > w.Most {
+		sort.Strings(frames)
+		j.fail(5, o.at, frames, "%s has %d of service %s in one place, %d are allowed", l.name, n, o.work.Service, w.Most)
+	}
+}
+
+func (l *life) shares(a, b string, place placer.Place) bool {
+	if place == placer.Everywhere || a == b {
+		return true
+	}
+	x, y := l.machines[a], l.machines[b]
+	if x == nil || y == nil {
+		return false
+	}
+	switch place {
+	case placer.OneZone:
+		return x.Zone == y.Zone
+	case placer.OneCell:
+		return x.Cell == y.Cell
+	}
+	return false
+}
+
+// began notes that a container runs. At-most-once work must not run twice, whoever sent it.
+func (j *judge) began(l *life, o *offer) {
+	if o.yes {
+		return
+	}
+	o.yes = true
+	l.held[o] = true
+	if w, ok := j.workload(o.work.Workload); ok && w.Effect == placer.AtMostOnce {
+		if p := j.ran[o.work.Key]; p != nil && p != o {
+			j.fail(2, j.now, []string{p.text, o.text}, "at-most-once key %s ran twice", o.work.Key)
+		}
+		j.ran[o.work.Key] = o
+	}
+}
+
+func (j *judge) result(l *life, ch *channel, f *link.Result) {
+	o := ch.offers[f.Bid]
+	if o == nil {
+		return
+	}
+	delete(ch.offers, f.Bid)
+	delete(l.held, o)
+	o.ended = true
+	o.never = f.Outcome == link.Full && !o.yes
+	if f.Outcome == link.Finished {
+		j.began(l, o)
+		delete(l.held, o)
+	}
+}
+
+func (j *judge) list(l *life, e *tap.Entry, f *link.Listed) {
+	if f.Whole {
+		named := map[string]bool{}
+		for _, x := range f.Entries {
+			named[x.Machine] = true
+		}
+		for name, m := range l.machines {
+			if !named[name] {
+				m.State = link.Gone
+				if m.shutAt == 0 {
+					m.shutAt = e.At
+				}
+			}
+		}
+	}
+	for _, x := range f.Entries {
+		m := l.machines[x.Machine]
+		if m == nil {
+			m = &listed{}
+			l.machines[x.Machine] = m
+		}
+		shut := m.shutAt
+		m.Entry, m.shutAt = x, 0
+		if x.State != link.Serving {
+			if m.shutAt = shut; shut == 0 {
+				m.shutAt = e.At
+			}
+		}
+		if x.Age >= 0 {
+			s := j.starts[startName(m)]
+			if s == nil {
+				s = &coldStart{machine: x.Machine, began: e.At - int64(x.Age), told: map[string]bool{}}
+				j.starts[startName(m)] = s
+			}
+			s.told[l.name] = true
+		}
+	}
+}
+
+// holds counts what a machine says that it runs for the placer, of this life and earlier ones.
+func (j *judge) holds(l *life, e *tap.Entry, ch *channel, f *link.Holds) {
+	for _, k := range f.Held {
+		if !k.Running {
+			continue
+		}
+		o := &offer{at: e.At, bid: k.Bid, machine: ch.name, link: e.Link, work: k.Work, yes: true,
+			text: fmt.Sprintf("%.1f ms %s says it holds %s of %s", float64(e.At)/10, ch.name, k.Work.Container, l.name)}
+		ch.offers[k.Bid] = o
+		l.held[o] = true
+		if w, ok := j.workload(k.Work.Workload); ok && w.Effect == placer.AtMostOnce {
+			if p := j.ran[k.Work.Key]; p != nil && p.bid != k.Bid {
+				j.fail(2, j.now, []string{p.text, o.text}, "at-most-once key %s ran twice", k.Work.Key)
+			}
+			j.ran[k.Work.Key] = o
+		}
+	}
+}
+
+// finish looks for what was owed at the end.
+func (j *judge) finish() {
+	for _, l := range j.placers {
+		for _, c := range l.containers {
+			j.drop(c)
+		}
+	}
+	sort.SliceStable(j.Findings, func(a, b int) bool { return j.Findings[a].At < j.Findings[b].At })
+}
--- /dev/null
+++ b/internal/host/helpers_test.go
@@ -0,0 +1,235 @@
+package host
+
+import (
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"glenport/internal/link"
+	"glenport/internal/site"
+	"glenport/placer"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// script stands in place of the module: it passes on what happens, and does what it is told for an ask.
+type script struct {
+	mu     sync.Mutex
+	on     func(e placer.Event) []placer.Action
+	events chan placer.Event
+}
+
+func (s *script) Handle(_ placer.Time, events []placer.Event) []placer.Action {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []placer.Action
+	for _, e := range events {
+		if s.on != nil {
+			out = append(out, s.on(e)...)
+		}
+		s.events <- e
+	}
+	return out
+}
+
+// rig is a host with a list that names machines, and a caller at its door.
+type rig struct {
+	*testing.T
+	h      *Host
+	script *script
+	door   *caller
+}
+
+func terms(t *testing.T) *site.Placer {
+	s, err := site.Load("../../deploy/placer.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Door, s.Keep = "127.0.0.1:0", ""
+	return s
+}
+
+func start(t *testing.T, s *site.Placer, on func(placer.Event) []placer.Action, machines map[string]string) *rig {
+	t.Helper()
+	sc := &script{on: on, events: make(chan placer.Event, 100_000)}
+	r := &rig{T: t, script: sc}
+	s.ListAddr = listing(t, machines)
+	r.h = run(t, s, sc)
+	r.h.loop.Post(func() { r.h.watch(&link.Watch{On: true}) })
+	await[placer.ListCame](r, func(e placer.ListCame) bool { return e.Mode != placer.OldList })
+	r.door = callDoor(t, r.h.Addr())
+	return r
+}
+
+func run(t *testing.T, s *site.Placer, d Decider) *Host {
+	t.Helper()
+	h, err := New(s, d, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- h.Run() }()
+	t.Cleanup(func() {
+		h.Stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return h
+}
+
+// await waits for an event of a sort; others before it are passed over.
+func await[E placer.Event](r *rig, want func(E) bool) E {
+	r.Helper()
+	limit := time.After(20 * time.Second)
+	for {
+		select {
+		case e := <-r.script.events:
+			if e, ok := e.(E); ok && (want == nil || want(e)) {
+				return e
+			}
+		case <-limit:
+			r.Fatalf("no such event in 20 s: %T", *new(E))
+		}
+	}
+}
+
+// serve listens and runs each connection in f until it returns.
+func serve(t *testing.T, f func(c net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var conns []net.Conn
+	all.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			conns = append(conns, c)
+			mu.Unlock()
+			all.Go(func() {
+				defer c.Close()
+				f(c)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		for _, c := range conns {
+			c.Close()
+		}
+		mu.Unlock()
+		all.Wait()
+	})
+	return l.Addr().String()
+}
+
+func put(c net.Conn, frames ...link.Frame) {
+	for _, f := range frames {
+		if p, err := link.Append(nil, f); err == nil {
+			c.Write(p)
+		}
+	}
+}
+
+func listing(t *testing.T, machines map[string]string) string {
+	return serve(t, func(c net.Conn) {
+		put(c, link.Greeting(link.List, "list", 1))
+		l := &link.Listed{Whole: true, Version: 1}
+		for id, addr := range machines {
+			l.Entries = append(l.Entries, link.Entry{Machine: id, Addr: addr, Incarnation: 1, Age: -1})
+		}
+		for {
+			f, err := link.Read(c, link.MostFrame)
+			if err != nil {
+				return
+			}
+			if _, ok := f.(*link.Watch); ok {
+				put(c, l)
+			}
+		}
+	})
+}
+
+// machineThat greets, says what it holds and answers each frame by answer; nil ends the link.
+func machineThat(t *testing.T, name string, holds *link.Holds, answer func(c net.Conn, f link.Frame) bool) string {
+	return serve(t, func(c net.Conn) {
+		if f, err := link.Read(c, link.MostFrame); err != nil || f.(*link.Hello).Role != link.Placer {
+			return
+		}
+		put(c, link.Greeting(link.Machine, name, 1), holds)
+		for {
+			f, err := link.Read(c, link.MostFrame)
+			if err != nil || !answer(c, f) {
+				return
+			}
+		}
+	})
+}
+
+type caller struct {
+	t *testing.T
+	net.Conn
+}
+
+func callDoor(t *testing.T, addr string) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	d := &caller{t, c}
+	put(c, link.Greeting(link.Owner, "owner", 1))
+	if hello, ok := d.next().(*link.Hello); !ok || hello.Role != link.Placer {
+		t.Fatal("the door does not greet")
+	}
+	return d
+}
+
+func (c *caller) next() link.Frame {
+	c.t.Helper()
+	f, err := link.Read(c, link.MostFrame)
+	if err != nil {
+		c.t.Fatalf("the door is closed: %v", err)
+	}
+	return f
+}
+
+func (c *caller) submit(id string, workload int) {
+	put(c, &link.Submit{Left: 60000, Work: link.Work{Container: id, Key: "k-" + id, Service: "s", Workload: workload,
+		Cores: 1, Memory: 1}})
+}
+
+func (c *caller) answer() *link.Answer {
+	c.t.Helper()
+	a, ok := c.next().(*link.Answer)
+	if !ok {
+		c.t.Fatal("no answer")
+	}
+	return a
+}
+
+func tempFile(t *testing.T) string {
+	f, err := os.CreateTemp(t.TempDir(), "list")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.Close()
+	os.Remove(f.Name())
+	return f.Name()
+}
--- /dev/null
+++ b/internal/host/host_test.go
@@ -0,0 +1,442 @@
+package host
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"glenport/internal/link"
+	"glenport/placer"
+)
+
+// bidTo bids each container to machine a, and gives it up after its first outcome.
+func bidTo(wait placer.Time) func(placer.Event) []placer.Action {
+	return func(e placer.Event) []placer.Action {
+		switch e := e.(type) {
+		case placer.Asked:
+			return []placer.Action{placer.Bid{ID: e.ID, Machine: "a", MaxWait: wait}}
+		case placer.Ended:
+			if !e.Over {
+				return []placer.Action{placer.GiveUp{ID: e.ID}}
+			}
+		}
+		return nil
+	}
+}
+
+func quiet(net.Conn, link.Frame) bool { return true }
+
+// Each outcome of the module's contract arises from what really happens on a socket.
+func TestOutcomes(t *testing.T) {
+	says := func(frames func(o *link.Offer) []link.Frame) func(*testing.T) string {
+		return func(t *testing.T) string {
+			return machineThat(t, "a", &link.Holds{}, func(c net.Conn, f link.Frame) bool {
+				if o, ok := f.(*link.Offer); ok {
+					put(c, frames(o)...)
+				}
+				return true
+			})
+		}
+	}
+	result := func(o link.Outcome, r link.Reason) func(*testing.T) string {
+		return says(func(f *link.Offer) []link.Frame {
+			return []link.Frame{&link.Result{Bid: f.Bid, Outcome: o, Reason: r, Report: map[string]float64{"queue": 3}}}
+		})
+	}
+	after := func(o link.Outcome, r link.Reason) func(*testing.T) string {
+		return says(func(f *link.Offer) []link.Frame {
+			return []link.Frame{&link.Yes{Bid: f.Bid, Running: true}, &link.Result{Bid: f.Bid, Outcome: o, Reason: r}}
+		})
+	}
+	hang := func(reset bool) func(*testing.T) string {
+		return func(t *testing.T) string {
+			return machineThat(t, "a", &link.Holds{}, func(c net.Conn, f link.Frame) bool {
+				_, offer := f.(*link.Offer)
+				if offer && reset {
+					c.(*net.TCPConn).SetLinger(0)
+				}
+				return !offer
+			})
+		}
+	}
+	for _, tc := range []struct {
+		name    string
+		machine func(*testing.T) string
+		want    placer.Outcome
+		reason  placer.Reason
+		over    bool
+		fate    link.Outcome
+	}{
+		{"full", result(link.Full, link.NoMemory), placer.Full, placer.NoMemory, false, 0},
+		{"erred", result(link.Erred, 0), placer.Erred, 0, false, 0},
+		{"finished", after(link.Finished, 0), placer.Finished, 0, true, link.Finished},
+		{"evicted", after(link.Lost, link.Evicted), placer.Reset, placer.Evicted, true, link.Lost},
+		{"sent away", after(link.Lost, link.SentAway), placer.Reset, placer.SentAway, true, link.Lost},
+		{"no answer", func(t *testing.T) string { return machineThat(t, "a", &link.Holds{}, quiet) }, placer.TimedOut, 0, false, 0},
+		{"link ended between offer and answer", hang(false), placer.Reset, 0, false, 0},
+		{"link reset between offer and answer", hang(true), placer.Reset, 0, false, 0},
+		{"garbage for an answer", says(func(*link.Offer) []link.Frame {
+			return []link.Frame{&link.Submit{Left: 1,
+				Work: link.Work{Container: "x", Key: "x", Service: "x"}}}
+		}), placer.Reset, 0, false, 0},
+		{"nobody listens", func(t *testing.T) string {
+			l, _ := net.Listen("tcp", "127.0.0.1:0")
+			defer l.Close()
+			return l.Addr().String()
+		}, placer.NoConnect, 0, false, 0},
+		{"takes the call and never greets", func(t *testing.T) string {
+			return serve(t, func(c net.Conn) { c.Read(make([]byte, 1000)); c.Read(make([]byte, 1000)) })
+		}, placer.NoConnect, 0, false, 0},
+		{"another machine answers", func(t *testing.T) string { return machineThat(t, "b", &link.Holds{}, quiet) },
+			placer.NoConnect, 0, false, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := start(t, terms(t), bidTo(1500*placer.Millisecond), map[string]string{"a": tc.machine(t)})
+			r.door.submit("x", 2)
+			e := await[placer.Ended](r, nil)
+			if e.Outcome != tc.want || e.Reason != tc.reason || e.Over != tc.over || e.Machine != "a" || e.ID != "x" {
+				t.Errorf("got %+v", e)
+			}
+			a := r.door.answer()
+			if !tc.over {
+				if a.Verdict != link.GivenUp {
+					t.Errorf("answered %v", a)
+				}
+				return
+			}
+			if fate, ok := r.door.next().(*link.Fate); a.Verdict != link.Placed || !ok || fate.Outcome != tc.fate {
+				t.Errorf("answered %v, then %v", a, fate)
+			}
+		})
+	}
+}
+
+// A machine that takes TCP and never reads fills its own output; further bids are not sent, and the others are
+// served all the while.
+func TestNeverReads(t *testing.T) {
+	done := make(chan struct{})
+	deaf := serve(t, func(c net.Conn) {
+		link.Read(c, link.MostFrame)
+		put(c, link.Greeting(link.Machine, "a", 1), &link.Holds{})
+		<-done
+	})
+	defer close(done)
+	s := terms(t)
+	s.Bounds.Open, s.Bounds.OpenPerCaller = 1_000_000, 1_000_000
+	r := start(t, s, bidTo(0), map[string]string{"a": deaf})
+	sent := 0
+	for {
+		put(r.door, &link.Submit{Left: 600000, Work: link.Work{Container: fmt.Sprint("x", sent), Key: fmt.Sprint(sent),
+			Service: strings.Repeat("s", 150), Workload: 2}})
+		if sent++; sent%1000 == 0 {
+			put(r.door, &link.AskStatus{})
+			if _, ok := r.door.next().(*link.Answer); ok {
+				break // one that was not sent
+			}
+		}
+	}
+	e := await[placer.Ended](r, nil)
+	if most := on1(r.h, func() int { return r.h.machines["a"].conn.Waiting() }); e.Outcome != placer.NotSent || most > s.Output {
+		t.Errorf("after %d bids %+v, %d bytes wait", sent, e, most)
+	}
+}
+
+// A yes that comes after its bid was withdrawn or timed out changes no answer: reissuable work is called off,
+// work that must not run twice is taken over.
+func TestLateYes(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		workload int
+		withdraw bool
+		want     string
+	}{{"timed out, reissuable", 0, false, "called off"}, {"timed out, at-most-once", 2, false, "taken over"},
+		{"withdrawn, at-most-once", 2, true, "taken over"}} {
+		t.Run(tc.name, func(t *testing.T) {
+			called := make(chan string, 10)
+			late := make(chan uint64, 1)
+			addr := machineThat(t, "a", &link.Holds{}, func(c net.Conn, f link.Frame) bool {
+				switch f := f.(type) {
+				case *link.Offer:
+					late <- f.Bid
+				case *link.Probe: // the test's sign that the outcome is in
+					put(c, &link.Yes{Bid: <-late, Running: true})
+				case *link.Withdraw:
+					called <- "called off"
+				}
+				return true
+			})
+			on := bidTo(200 * placer.Millisecond)
+			r := start(t, terms(t), func(e placer.Event) []placer.Action {
+				if _, ok := e.(placer.Ended); ok {
+					return append(on(e), placer.Probe{Machine: "a"})
+				}
+				if a, ok := e.(placer.Asked); ok && tc.withdraw {
+					return append(on(e), placer.Withdraw{ID: a.ID, Bid: 0})
+				}
+				if _, ok := e.(placer.TookOver); ok {
+					called <- "taken over"
+				}
+				return on(e)
+			}, map[string]string{"a": addr})
+			if tc.withdraw { // the link must stand, or the bid is never sent
+				r.h.loop.Post(func() { r.h.reach(r.h.machines["a"]) })
+				until(t, func() bool { return on1(r.h, func() bool { return r.h.machines["a"].ready }) })
+			}
+			r.door.submit("x", tc.workload)
+			if a := r.door.answer(); a.Verdict != link.GivenUp {
+				t.Errorf("answered %v", a)
+			}
+			got := <-called
+			if got == "called off" && tc.withdraw {
+				got = <-called
+			}
+			if got != tc.want {
+				t.Errorf("%s, want %s", got, tc.want)
+			}
+			if tc.want == "taken over" { // and an owner that asks again is told so
+				put(r.door, &link.Submit{Left: 60000, Work: link.Work{Container: "y", Key: "k-x", Service: "s", Workload: tc.workload}})
+				if a := r.door.answer(); a.Verdict != link.Placed || a.Machine != "a" {
+					t.Errorf("answered %v", a)
+				}
+			}
+		})
+	}
+}
+
+// until waits for what another goroutine brings about.
+func until(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("it did not come about in 20 s")
+		}
+	}
+}
+
+func on1[T any](h *Host, f func() T) T {
+	got := make(chan T, 1)
+	h.loop.Post(func() { got <- f() })
+	return <-got
+}
+
+// A broken link alone loses nothing: the machine says what it holds when the link stands again. What it no
+// longer names is lost, and what it holds of an earlier life is taken over.
+func TestLinkBreaks(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		held bool
+	}{{"still held", true}, {"no longer held", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			calls, bid := 0, uint64(0)
+			work := link.Work{Container: "x", Key: "k-x", Service: "s", Workload: 2}
+			again := make(chan net.Conn, 10)
+			addr := serve(t, func(c net.Conn) {
+				hello, err := link.Read(c, link.MostFrame)
+				if err != nil {
+					return
+				}
+				holds := &link.Holds{Held: []link.Holding{{Life: 1, Bid: 7, Running: true, Work: link.Work{Container: "old",
+					Key: "k-old", Service: "s"}}}}
+				if calls++; calls == 2 && tc.held {
+					holds.Held = append(holds.Held, link.Holding{Life: hello.(*link.Hello).Life, Bid: bid, Running: true, Work: work})
+				}
+				put(c, link.Greeting(link.Machine, "a", 1), holds)
+				if calls == 2 {
+					again <- c
+				}
+				for {
+					f, err := link.Read(c, link.MostFrame)
+					if err != nil {
+						return
+					}
+					if o, ok := f.(*link.Offer); ok {
+						bid = o.Bid
+						put(c, &link.Yes{Bid: bid, Running: true})
+						return
+					}
+				}
+			})
+			r := start(t, terms(t), bidTo(0), map[string]string{"a": addr})
+			if took := await[placer.TookOver](r, nil); took.ID != "old" || took.Machine != "a" {
+				t.Errorf("took over %+v", took)
+			}
+			r.door.submit("x", 2)
+			if a := r.door.answer(); a.Verdict != link.Placed {
+				t.Fatalf("answered %v", a)
+			}
+			c := <-again
+			want := link.Lost
+			if tc.held {
+				want = link.Finished
+				put(c, &link.Result{Bid: bid})
+			}
+			if fate, ok := r.door.next().(*link.Fate); !ok || fate.Outcome != want {
+				t.Errorf("its fate is %v, want %v", fate, want)
+			}
+		})
+	}
+}
+
+// What exceeds the bounds, what is garbage and who never finishes a frame is refused at the door with a word
+// why; the others are served.
+func TestDoor(t *testing.T) {
+	s := terms(t)
+	s.Bounds.Open, s.Bounds.Callers, s.Silent = 2, 2, 5000
+	r := start(t, s, nil, nil)
+	for _, id := range []string{"x", "y", "z"} {
+		r.door.submit(id, 0)
+	}
+	if a := r.door.answer(); a.Container != "z" || a.Verdict != link.TurnedAway || !strings.Contains(a.Text, "2 containers are open") || a.HoldOff == 0 {
+		t.Errorf("answered %+v", a)
+	}
+	raw := func(p []byte, pause time.Duration) string {
+		c, err := net.Dial("tcp", r.h.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		c.SetDeadline(time.Now().Add(20 * time.Second))
+		link.Read(c, link.MostFrame)
+		go func() {
+			for i := range p {
+				if _, err := c.Write(p[i : i+1]); err != nil {
+					return
+				}
+				time.Sleep(pause)
+			}
+		}()
+		f, err := link.Read(c, link.MostFrame)
+		if bye, ok := f.(*link.Bye); ok {
+			return bye.Text
+		}
+		return fmt.Sprint(f, err)
+	}
+	greeting := func(role link.Role) []byte {
+		p, _ := link.Append(nil, link.Greeting(role, "o", 1))
+		return p
+	}
+	for _, tc := range []struct {
+		name  string
+		bytes []byte
+		pause time.Duration
+		want  string
+	}{
+		{"garbage", []byte("GET / HTTP/1.1\r\n\r\n"), 0, "over the limit"},
+		{"a machine at the wrong door", greeting(link.Machine), 0, "no business at this door"},
+		{"oversize", append(greeting(link.Placer), 0, 0xff, 0, 0), 0, "over the limit of 65536"},
+		{"a frame for machines", append(greeting(link.Placer), 0, 0, 0, 3, 7, 0x81, 1), 0, "not for the door"},
+		{"one byte at a time, without end", append(greeting(link.Placer), bytes.Repeat([]byte{0, 0, 0xf0, 0}, 100)...),
+			50 * time.Millisecond, "half a frame"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := raw(tc.bytes, tc.pause); !strings.Contains(got, tc.want) {
+				t.Errorf("told %q, want %q", got, tc.want)
+			}
+		})
+	}
+	callDoor(t, r.h.Addr()) // the second
+	if got := raw(greeting(link.Owner), 0); !strings.Contains(got, "2 owners are connected") {
+		t.Errorf("a third owner is told %q", got)
+	}
+	put(r.door, &link.Cancel{Container: "x"})
+	if a := r.door.answer(); a.Container != "x" || a.Verdict != link.GivenUp {
+		t.Errorf("cancelled: %+v", a)
+	}
+	put(r.door, &link.AskStatus{})
+	if f, ok := r.door.next().(*link.Status); !ok || len(f.Figures) < 20 {
+		t.Errorf("status %v", f)
+	}
+}
+
+// With no descriptor left a bid is known never to have run, and goes out once there is one.
+func TestNoDescriptorLeft(t *testing.T) {
+	var old syscall.Rlimit
+	syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old)
+	defer syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old)
+	addr := machineThat(t, "a", &link.Holds{}, func(c net.Conn, f link.Frame) bool {
+		if o, ok := f.(*link.Offer); ok {
+			put(c, &link.Yes{Bid: o.Bid, Running: true})
+		}
+		return true
+	})
+	s := terms(t)
+	r := start(t, s, bidTo(0), map[string]string{"a": addr})
+	until(t, func() bool { return on1(r.h, func() bool { return r.h.machines["a"].ready }) }) // asked what it holds
+	r.h.loop.Post(func() { r.h.machines["a"].conn.Reset() })
+	until(t, func() bool { return on1(r.h, func() bool { return r.h.machines["a"].conn == nil }) })
+	lowest, _ := syscall.Dup(0)
+	syscall.Close(lowest)
+	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(lowest), Max: old.Max})
+	r.door.submit("x", 2)
+	if e := await[placer.Ended](r, nil); e.Outcome != placer.NoConnect {
+		t.Errorf("outcome %+v", e)
+	}
+	if a := r.door.answer(); a.Verdict != link.GivenUp {
+		t.Errorf("answered %v", a)
+	}
+	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old)
+	r.door.submit("y", 2)
+	if a := r.door.answer(); a.Verdict != link.Placed {
+		t.Errorf("answered %v", a)
+	}
+}
+
+// A placer comes back with its last list, the starts of machines as they were, and none where the file is
+// broken.
+func TestKeptList(t *testing.T) {
+	s := terms(t)
+	s.Keep = tempFile(t)
+	r := start(t, s, nil, map[string]string{"a": "127.0.0.1:1", "b": "127.0.0.1:1"})
+	until(t, func() bool {
+		return on1(r.h, func() bool { l, _, err := new(keeper).load(s.Keep, r.h.loop); return err == nil && len(l) == 2 })
+	})
+	second := &script{events: make(chan placer.Event, 1000)}
+	run(t, s, second)
+	if e := await[placer.ListCame](&rig{T: t, script: second}, nil); e.Mode != placer.OldList || len(e.Entries) != 2 {
+		t.Errorf("came back with %+v", e)
+	}
+	data, _ := os.ReadFile(s.Keep)
+	for _, broken := range [][]byte{{}, data[:len(data)/2], append([]byte("x"), data...), []byte("no list at all")} {
+		os.WriteFile(s.Keep, broken, 0o644)
+		if l, _, err := new(keeper).load(s.Keep, r.h.loop); err == nil || l != nil {
+			t.Errorf("%d bytes that are no list are taken for one", len(broken))
+		}
+	}
+}
+
+// The list that names a machine again at the same address with a new start is one start, told once; the same
+// start by another way is none.
+func TestMachineBackWithNewStart(t *testing.T) {
+	r := start(t, terms(t), nil, map[string]string{"a": "127.0.0.1:1"})
+	starts := func(incarnation uint64, age link.Span) placer.Time {
+		return on1(r.h, func() placer.Time {
+			r.h.learn(placer.Changes, 2, []link.Entry{{Machine: "a", Addr: "127.0.0.1:1", Incarnation: incarnation, Age: age}})
+			return r.h.machines["a"].startedAt
+		})
+	}
+	first, same, second := starts(2, 100), starts(2, 90), starts(3, 0)
+	if first == 0 || same != first || second <= first {
+		t.Errorf("started %d, then %d, then %d", first, same, second)
+	}
+}
+
+// Messages reach the other placers' doors.
+func TestTell(t *testing.T) {
+	to := start(t, terms(t), nil, nil)
+	s := terms(t)
+	s.Peers = []string{"127.0.0.1:1", to.h.Addr(), "127.0.0.1:1"}
+	start(t, s, func(e placer.Event) []placer.Action {
+		if l, ok := e.(placer.ListCame); ok && l.Mode != placer.OldList {
+			return []placer.Action{placer.Tell{To: -1, Data: []byte("hi")}}
+		}
+		return nil
+	}, nil)
+	if e := await[placer.Heard](to, nil); string(e.Data) != "hi" || e.From != 0 {
+		t.Errorf("heard %+v", e)
+	}
+}
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -259,6 +259,9 @@
 		return
 	}
 	o := outcomeOf(f)
+	if !b.placed && o == placer.Finished { // it ran, whatever became of the yes
+		m.h.yes(b)
+	}
 	if !b.placed {
 		m.h.meter.outcome(f.Outcome.String())
 	}
--- /dev/null
+++ b/internal/lab/cluster.go
@@ -0,0 +1,309 @@
+// Package lab brings up a cluster of stand-ins on loopback with real placers, plays a day's troubles on it and
+// has the record judged.
+package lab
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"glenport/internal/link"
+	"glenport/internal/site"
+	"glenport/internal/standin"
+	"glenport/internal/tap"
+
+	"github.com/goccy/go-yaml"
+)
+
+// Cluster is a running one.
+type Cluster struct {
+	Dir      string
+	Machines []*standin.Machine
+	List     *standin.List
+	Net      *tap.Net
+	Owners   *standin.Owners
+	Placers  []*Placer
+	Site     *site.Placer // of the first placer
+	record   *tap.Writer
+}
+
+// Placer is a placer's process.
+type Placer struct {
+	Name  string
+	Hall  int
+	Door  string // its own; owners go through a tap
+	file  string
+	run   []string
+	log   *os.File
+	mu    sync.Mutex
+	proc  *os.Process
+	ended chan struct{}
+}
+
+// Start brings the process up and waits until its door answers.
+func (p *Placer) Start() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.proc != nil {
+		return nil
+	}
+	started := make(chan error, 1)
+	p.ended = make(chan struct{})
+	ended := p.ended
+	go func() { // the thread that starts a process must outlive it: its death is the process's
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		c := exec.Command(p.run[0], append(p.run[1:], "-c", p.file)...)
+		c.Stderr = p.log
+		c.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := c.Start(); err != nil {
+			started <- err
+			return
+		}
+		p.proc = c.Process
+		started <- nil
+		c.Wait()
+		close(ended)
+	}()
+	if err := <-started; err != nil {
+		return err
+	}
+	for end := time.Now().Add(10 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if c, err := net.Dial("tcp", p.Door); err == nil {
+			return c.Close()
+		}
+		select {
+		case <-ended:
+			return fmt.Errorf("placer %s ended at once; its log is %s", p.Name, p.log.Name())
+		default:
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("placer %s does not open its door", p.Name)
+		}
+	}
+}
+
+// Stop ends the process by a signal and waits for its end.
+func (p *Placer) Stop(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.proc == nil {
+		return
+	}
+	p.proc.Signal(s)
+	select {
+	case <-p.ended:
+	case <-time.After(5 * time.Second):
+		p.proc.Kill()
+		<-p.ended
+	}
+	p.proc = nil
+}
+
+// Up tells whether the process runs.
+func (p *Placer) Up() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.proc != nil
+}
+
+// Status asks the placer for its account.
+func (p *Placer) Status() (map[string]float64, error) {
+	c, err := net.DialTimeout("tcp", p.Door, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(5 * time.Second))
+	hello, _ := link.Append(nil, link.Greeting(link.Placer, "laboratory", 1))
+	ask, _ := link.Append(hello, &link.AskStatus{})
+	c.Write(ask)
+	for {
+		f, err := link.Read(c, link.MostFrame)
+		if err != nil {
+			return nil, err
+		}
+		if s, ok := f.(*link.Status); ok {
+			out := map[string]float64{}
+			for _, g := range s.Figures {
+				out[g.Name] = g.Value
+			}
+			return out, nil
+		}
+	}
+}
+
+// freePort finds a port of the system's choice. It is closed again before the placer opens it, which leaves a
+// moment for another program to take it: the start then fails, with a word.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// placerFile writes one placer's file after a template.
+func placerFile(template []byte, path string, set map[string]any) (*site.Placer, error) {
+	var all map[string]any
+	if err := yaml.Unmarshal(template, &all); err != nil {
+		return nil, err
+	}
+	for k, v := range set {
+		if m, ok := v.(map[string]any); ok {
+			old, _ := all[k].(map[string]any)
+			for kk, vv := range m {
+				if old != nil {
+					old[kk] = vv
+				}
+			}
+			continue
+		}
+		all[k] = v
+	}
+	data, err := yaml.Marshal(all)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(path, data, 0o644); err != nil {
+		return nil, err
+	}
+	return site.Load(path)
+}
+
+// Bring brings a day's cluster up, in a folder of its own.
+func Bring(d *Day, dir string, program []string) (c *Cluster, err error) {
+	c = &Cluster{Dir: dir}
+	defer func() {
+		if err != nil {
+			c.Close()
+		}
+	}()
+	template, err := os.ReadFile(d.Template)
+	if err != nil {
+		return nil, err
+	}
+	if c.Site, err = site.Parse(d.Template, template); err != nil {
+		return nil, err
+	}
+	terms := c.Site.Terms
+	terms.Placers = d.Placers
+	if c.record, err = tap.Create(filepath.Join(dir, "record"), tap.Header{Terms: terms,
+		DrainGrace: d.DrainGrace, Slack: d.Slack}); err != nil {
+		return nil, err
+	}
+	c.Net = tap.NewNet(c.record, d.Seed)
+	groups := make([]*standin.Group, len(d.Halls))
+	for i := range groups {
+		groups[i] = &standin.Group{}
+	}
+	taps := map[*standin.Machine]string{}
+	for i, s := range d.shapes(c.Site) {
+		m := standin.NewMachine(s, groups[s.ZoneN], d.Seed+uint64(i))
+		c.Machines = append(c.Machines, m)
+		if err := m.Up(true); err != nil {
+			return nil, err
+		}
+		if taps[m], err = c.Net.Tap(link.Machine, m.Name, func() string { return m.Addr() }); err != nil {
+			return nil, err
+		}
+	}
+	c.List = &standin.List{Lag: d.List.Lag, Notice: d.List.Notice, Period: d.List.Period, CallsPS: d.List.Calls,
+		Address: func(m *standin.Machine) string { return taps[m] }}
+	list, err := c.List.Open(c.Machines)
+	if err != nil {
+		return nil, err
+	}
+	listTap, err := c.Net.Tap(link.List, "list", func() string { return list })
+	if err != nil {
+		return nil, err
+	}
+	c.Owners = &standin.Owners{Works: d.Works, Customers: len(c.Site.Customers)}
+	for i := range d.Placers {
+		p := &Placer{Name: fmt.Sprint("placer-", i), Hall: i % len(d.Halls), run: program}
+		if p.Door, err = freePort(); err != nil {
+			return nil, err
+		}
+		p.file = filepath.Join(dir, p.Name+".yaml")
+		if p.log, err = os.Create(filepath.Join(dir, p.Name+".log")); err != nil {
+			return nil, err
+		}
+		if _, err = placerFile(template, p.file, map[string]any{"name": p.Name, "number": i, "placers": d.Placers,
+			"seed": int(d.Seed) + i, "door": p.Door, "keep": filepath.Join(dir, p.Name+".list"),
+			"list": map[string]any{"address": listTap}}); err != nil {
+			return nil, err
+		}
+		door, err := c.Net.Tap(link.Owner, p.Name, func() string { return p.Door })
+		if err != nil {
+			return nil, err
+		}
+		c.Owners.Doors = append(c.Owners.Doors, door)
+		c.Placers = append(c.Placers, p)
+		if err = c.Up(p); err != nil {
+			return nil, err
+		}
+	}
+	return c, c.ready(d)
+}
+
+// ready waits until every placer knows every machine that is up.
+func (c *Cluster) ready(d *Day) error {
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		n := 0
+		for _, p := range c.Placers {
+			if s, err := p.Status(); err == nil && int(s["machines known"]) == len(c.Machines) && s["list version"] > 0 {
+				n++
+			}
+		}
+		if n == len(c.Placers) {
+			return nil
+		}
+		if time.Now().After(end) {
+			return fmt.Errorf("%d of %d placers know their %d machines after 20 s", n, len(c.Placers), len(c.Machines))
+		}
+	}
+}
+
+// Up starts a placer; Kill ends it by SIGKILL. Both are noted in the record.
+func (c *Cluster) Up(p *Placer) error {
+	c.record.Note(tap.Started, p.Name)
+	return p.Start()
+}
+
+func (c *Cluster) Kill(p *Placer) {
+	p.Stop(syscall.SIGKILL)
+	c.record.Note(tap.Killed, p.Name)
+}
+
+// Close ends all that was started and finishes the record.
+func (c *Cluster) Close() error {
+	for _, p := range c.Placers {
+		p.Stop(syscall.SIGTERM)
+		if p.log != nil {
+			p.log.Close()
+		}
+	}
+	if c.List != nil {
+		c.List.Close()
+	}
+	if c.Net != nil {
+		c.Net.Close()
+	}
+	for _, m := range c.Machines {
+		m.Close()
+	}
+	c.List, c.Net, c.Machines, c.Placers = nil, nil, nil, nil
+	if c.record != nil {
+		r := c.record
+		c.record = nil
+		return r.Close()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/day.go
@@ -0,0 +1,517 @@
+package lab
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sort"
+	"sync"
+	"time"
+
+	"glenport/internal/link"
+	"glenport/internal/settings"
+	"glenport/internal/site"
+	"glenport/internal/standin"
+	"glenport/internal/tap"
+	"glenport/placer"
+)
+
+// Day is a cluster, its load and its troubles.
+type Day struct {
+	Name       string
+	Seed       uint64
+	Length     time.Duration
+	Settle     time.Duration // after the last submission
+	Placers    int
+	Template   string // a placer's file
+	Rate       float64
+	Halls      []string
+	Counts     []kindCount
+	Machine    standin.Shape
+	List       listShape
+	Works      []standin.Work
+	DrainGrace placer.Time
+	Slack      placer.Time
+	Troubles   []Trouble
+}
+
+type kindCount struct {
+	kind string
+	each int
+}
+
+type listShape struct {
+	Lag, Notice, Period time.Duration
+	Calls               int
+}
+
+// Trouble is one thing that goes wrong.
+type Trouble struct {
+	Kind string
+	At   time.Duration
+	For  time.Duration
+	Part float64 // of the machines, or what the kind says
+	Size float64
+	Hall int
+}
+
+type dayFile struct {
+	Name       settings.Word   `yaml:"name"`
+	Seed       settings.Count  `yaml:"seed"`
+	Length     settings.Span   `yaml:"length"`
+	Settle     settings.Span   `yaml:"settle"`
+	Placers    settings.Count  `yaml:"placers"`
+	Template   settings.Word   `yaml:"placer_file"`
+	Rate       settings.Number `yaml:"submissions_a_second"`
+	DrainGrace settings.Span   `yaml:"drain_grace"`
+	Slack      settings.Span   `yaml:"slack"`
+	Halls      []settings.Word `yaml:"halls"`
+	Machines   []dayMachines   `yaml:"machines"`
+	Machine    dayMachine      `yaml:"machine"`
+	List       dayList         `yaml:"list"`
+	Work       []dayWork       `yaml:"work"`
+	Troubles   []dayTrouble    `yaml:"troubles"`
+}
+
+type dayMachines struct {
+	Kind settings.Word  `yaml:"kind"`
+	Each settings.Count `yaml:"in_each_hall"`
+}
+
+type dayMachine struct {
+	Admit    settings.Span   `yaml:"look_at_an_offer"`
+	Queue    settings.Count  `yaml:"offers_may_wait"`
+	Starts   settings.Count  `yaml:"starts_at_once"`
+	Start    settings.Span   `yaml:"start"`
+	Setup    settings.Number `yaml:"first_start_times"`
+	Kept     settings.Count  `yaml:"programs_kept"`
+	ColdFrom settings.Number `yaml:"cold_pace"`
+	Bears    settings.Count  `yaml:"cold_bears"`
+	Drift    settings.Number `yaml:"use_drifts"`
+}
+
+type dayList struct {
+	Lag    settings.Span  `yaml:"behind"`
+	Notice settings.Span  `yaml:"notices_death_after"`
+	Period settings.Span  `yaml:"looks_every"`
+	Calls  settings.Count `yaml:"calls_a_second"`
+}
+
+type dayWork struct {
+	Workload  settings.Word     `yaml:"workload"`
+	Share     settings.Number   `yaml:"share"`
+	Services  settings.Count    `yaml:"services"`
+	Cores     []settings.Number `yaml:"cores"`
+	Memory    []settings.Memory `yaml:"memory"`
+	Life      settings.Span     `yaml:"life"`
+	Again     settings.Flag     `yaml:"asked_again"`
+	AgainLost settings.Flag     `yaml:"asked_again_when_unheard" settings:"may"`
+}
+
+type dayTrouble struct {
+	Kind settings.Word   `yaml:"kind"`
+	At   settings.Span   `yaml:"at"`
+	For  settings.Span   `yaml:"for"`
+	Part settings.Number `yaml:"part" settings:"may"`
+	Size settings.Number `yaml:"size" settings:"may"`
+	Hall settings.Word   `yaml:"hall" settings:"may"`
+}
+
+func span(s settings.Span) time.Duration { return time.Duration(s.Tenths) * 100 * time.Microsecond }
+
+// LoadDay reads a day's file.
+func LoadDay(path string) (*Day, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	var f dayFile
+	src, err := settings.Read(path, data, &f)
+	if err != nil {
+		return nil, err
+	}
+	needed := []struct {
+		path string
+		of   any
+	}{{"", f}, {"machine", f.Machine}, {"list", f.List}}
+	for i := range f.Machines {
+		needed = append(needed, struct {
+			path string
+			of   any
+		}{fmt.Sprintf("machines[%d]", i), f.Machines[i]})
+	}
+	for i := range f.Work {
+		needed = append(needed, struct {
+			path string
+			of   any
+		}{fmt.Sprintf("work[%d]", i), f.Work[i]})
+	}
+	for i := range f.Troubles {
+		needed = append(needed, struct {
+			path string
+			of   any
+		}{fmt.Sprintf("troubles[%d]", i), f.Troubles[i]})
+	}
+	for _, n := range needed {
+		if err := settings.Needed(src, n.path, n.of); err != nil {
+			return nil, err
+		}
+	}
+	m := &f.Machine
+	d := &Day{Name: f.Name.Text, Seed: uint64(f.Seed.Value), Length: span(f.Length), Settle: span(f.Settle),
+		Placers: f.Placers.Value, Template: filepath.Join(filepath.Dir(path), f.Template.Text), Rate: f.Rate.Value,
+		DrainGrace: placer.Time(f.DrainGrace.Tenths), Slack: placer.Time(f.Slack.Tenths),
+		Machine: standin.Shape{Admit: span(m.Admit), Queue: m.Queue.Value, Starts: m.Starts.Value, Start: span(m.Start),
+			Setup: m.Setup.Value, Kept: m.Kept.Value, ColdFrom: m.ColdFrom.Value, ColdBears: m.Bears.Value, Drift: m.Drift.Value},
+		List: listShape{span(f.List.Lag), span(f.List.Notice), span(f.List.Period), f.List.Calls.Value}}
+	for _, h := range f.Halls {
+		d.Halls = append(d.Halls, h.Text)
+	}
+	if len(d.Halls) == 0 || d.Placers == 0 || len(f.Machines) == 0 || len(f.Work) == 0 {
+		return nil, src.At(f.Name.Place, "a day needs halls, placers, machines and work")
+	}
+	for _, k := range f.Machines {
+		d.Counts = append(d.Counts, kindCount{k.Kind.Text, k.Each.Value})
+	}
+	s, err := site.Load(d.Template)
+	if err != nil {
+		return nil, err
+	}
+	d.Works = make([]standin.Work, len(s.Workloads))
+	for _, w := range f.Work {
+		n, err := settings.Choose(src, w.Workload, s.Workloads...)
+		if err != nil {
+			return nil, err
+		}
+		if len(w.Cores) == 0 || len(w.Cores) != len(w.Memory) || w.Services.Value == 0 {
+			return nil, src.At(w.Workload.Place, "work needs services, and as many memories as cores")
+		}
+		x := standin.Work{Share: w.Share.Value, Services: w.Services.Value, Life: span(w.Life), Again: w.Again.Value,
+			AgainLost: w.AgainLost.Value, HardStop: time.Duration(s.Terms.Workloads[n].HardStop) * 100 * time.Microsecond}
+		for i := range w.Cores {
+			x.Cores, x.Memory = append(x.Cores, w.Cores[i].Value), append(x.Memory, w.Memory[i].GiB)
+		}
+		d.Works[n] = x
+	}
+	for _, t := range f.Troubles {
+		if troubles[t.Kind.Text] == nil {
+			return nil, src.At(t.Kind.Place, "%q is no trouble; there are %v", t.Kind.Text, kindsOfTrouble())
+		}
+		x := Trouble{Kind: t.Kind.Text, At: span(t.At), For: span(t.For), Part: t.Part.Value, Size: t.Size.Value}
+		if t.Hall.Set() {
+			if x.Hall, err = settings.Choose(src, t.Hall, d.Halls...); err != nil {
+				return nil, err
+			}
+		}
+		d.Troubles = append(d.Troubles, x)
+	}
+	return d, nil
+}
+
+// shapes are the day's machines, hall by hall.
+func (d *Day) shapes(s *site.Placer) []standin.Shape {
+	var all []standin.Shape
+	byName := map[string]int{}
+	for i, k := range s.Kinds {
+		byName[k] = i
+	}
+	var needs, rank []int
+	for _, w := range s.Terms.Workloads {
+		needs = append(needs, w.Kind)
+		rank = append(rank, int(w.Gain*100))
+	}
+	for z, hall := range d.Halls {
+		for _, c := range d.Counts {
+			for i := range c.each {
+				m := d.Machine
+				n := byName[c.kind]
+				k := s.Terms.Kinds[n]
+				m.Name, m.Zone, m.ZoneN, m.KindN = fmt.Sprintf("%s-%s-%d", hall, c.kind, i), hall, z, n
+				m.CellN = z*1000 + i/4
+				m.Cores, m.Memory, m.AcceptCores, m.AcceptMemory = k.Cores, k.Memory, s.Terms.AcceptCores, s.Terms.AcceptMemory
+				m.ColdFor = time.Duration(s.Terms.ColdFor) * 100 * time.Microsecond
+				m.ColdWindow = time.Duration(s.Terms.ColdWindow) * 100 * time.Microsecond
+				m.YesRuns, m.TellUse, m.NeedsKind, m.Rank = s.Terms.YesRuns, s.Terms.UseNotes, needs, rank
+				all = append(all, m)
+			}
+		}
+	}
+	return all
+}
+
+// player plays troubles on a cluster.
+type player struct {
+	*Cluster
+	day *Day
+	rng *rand.Rand
+
+	mu     sync.Mutex
+	faults map[int]func(placer string, far link.Role, name string) tap.Fault
+	last   int
+	note   func(format string, a ...any)
+}
+
+// fault puts a rule of network faults in force and returns what ends it.
+func (p *player) fault(f func(placer string, far link.Role, name string) tap.Fault) (end func()) {
+	p.mu.Lock()
+	p.last++
+	n := p.last
+	p.faults[n] = f
+	p.mu.Unlock()
+	p.apply()
+	return func() {
+		p.mu.Lock()
+		delete(p.faults, n)
+		p.mu.Unlock()
+		p.apply()
+	}
+}
+
+func (p *player) apply() {
+	p.mu.Lock()
+	var all []func(string, link.Role, string) tap.Fault
+	for _, f := range p.faults {
+		all = append(all, f)
+	}
+	p.mu.Unlock()
+	p.Net.Set(func(placer string, far link.Role, name string) (sum tap.Fault) {
+		for _, f := range all {
+			x := f(placer, far, name)
+			sum.Cut = sum.Cut || x.Cut
+			sum.LoseAnswers = max(sum.LoseAnswers, x.LoseAnswers)
+			sum.Delay = max(sum.Delay, x.Delay)
+		}
+		return sum
+	})
+}
+
+// some picks a part of the machines, one at least.
+func (p *player) some(part float64) []*standin.Machine {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := max(1, int(part*float64(len(p.Machines))+0.5))
+	var out []*standin.Machine
+	for _, i := range p.rng.Perm(len(p.Machines))[:min(n, len(p.Machines))] {
+		out = append(out, p.Machines[i])
+	}
+	return out
+}
+
+func (p *player) hall(n int) (out []*standin.Machine) {
+	for _, m := range p.Machines {
+		if m.ZoneN == n {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+func in(ms []*standin.Machine) map[string]bool {
+	names := map[string]bool{}
+	for _, m := range ms {
+		names[m.Name] = true
+	}
+	return names
+}
+
+// troubles play one each; they return when the trouble is over. wait sleeps unless the day is over.
+var troubles = map[string]func(p *player, t Trouble, wait func(time.Duration)){
+	"crash": func(p *player, t Trouble, wait func(time.Duration)) {
+		p.restart(p.some(t.Part), t.For, wait)
+	},
+	"hall restarts cold": func(p *player, t Trouble, wait func(time.Duration)) {
+		p.restart(p.hall(t.Hall), t.For, wait)
+	},
+	"silence": func(p *player, t Trouble, wait func(time.Duration)) {
+		ms := p.some(t.Part)
+		for _, m := range ms {
+			m.Freeze(true)
+		}
+		wait(t.For)
+		for _, m := range ms {
+			m.Freeze(false)
+		}
+	},
+	"silence, then cold": func(p *player, t Trouble, wait func(time.Duration)) {
+		ms := p.some(t.Part)
+		for _, m := range ms {
+			m.Freeze(true)
+		}
+		wait(t.For)
+		p.restart(ms, 0, wait)
+	},
+	"half-open links": func(p *player, t Trouble, wait func(time.Duration)) {
+		names := in(p.some(t.Part))
+		end := p.fault(func(_ string, far link.Role, name string) tap.Fault {
+			return tap.Fault{Cut: far == link.Machine && names[name]}
+		})
+		wait(t.For)
+		end()
+	},
+	"hall cut off": func(p *player, t Trouble, wait func(time.Duration)) {
+		names := in(p.hall(t.Hall))
+		here := map[string]bool{}
+		for _, x := range p.Placers {
+			here[x.Name] = x.Hall == t.Hall
+		}
+		end := p.fault(func(placer string, far link.Role, name string) tap.Fault {
+			return tap.Fault{Cut: far == link.Machine && names[name] != here[placer]}
+		})
+		wait(t.For)
+		end()
+	},
+	"resets": func(p *player, t Trouble, wait func(time.Duration)) {
+		for end := t.For; end > 0; end -= time.Second {
+			names := in(p.some(t.Part))
+			p.Net.Reset(func(_ string, far link.Role, name string) bool { return far == link.Machine && names[name] })
+			wait(min(end, time.Second))
+		}
+	},
+	"slow": func(p *player, t Trouble, wait func(time.Duration)) {
+		ms := p.some(t.Part)
+		for _, m := range ms {
+			m.Slow(t.Size)
+		}
+		wait(t.For)
+		for _, m := range ms {
+			m.Slow(1)
+		}
+	},
+	"drain": func(p *player, t Trouble, wait func(time.Duration)) {
+		ms := p.some(t.Part)
+		for _, m := range ms {
+			p.List.Mark(m, link.Draining)
+			m.Drain(true, t.Size > 0)
+		}
+		wait(t.For)
+		for _, m := range ms {
+			p.List.Mark(m, link.Serving)
+			m.Drain(false, false)
+		}
+	},
+	"rolling deploy": func(p *player, t Trouble, wait func(time.Duration)) {
+		ms := p.some(t.Part)
+		step := max(1, int(t.Size*float64(len(p.Machines))+0.5))
+		steps := (len(ms) + step - 1) / step
+		for len(ms) > 0 {
+			now := ms[:min(step, len(ms))]
+			ms = ms[len(now):]
+			for _, m := range now {
+				p.List.Mark(m, link.Draining)
+				m.Drain(true, true)
+			}
+			wait(t.For / time.Duration(2*steps))
+			for _, m := range now {
+				p.List.Mark(m, link.Serving)
+			}
+			p.restart(now, t.For/time.Duration(2*steps), wait)
+		}
+	},
+	"list away": func(p *player, t Trouble, wait func(time.Duration)) {
+		p.List.Away(true)
+		wait(t.For)
+		p.List.Away(false)
+	},
+	"list stale": func(p *player, t Trouble, wait func(time.Duration)) {
+		p.List.Stale(time.Duration(t.Size * float64(time.Second)))
+		wait(t.For)
+		p.List.Stale(0)
+	},
+	"placers killed": func(p *player, t Trouble, wait func(time.Duration)) {
+		n := max(1, int(t.Part*float64(len(p.Placers))+0.5))
+		p.mu.Lock()
+		order := p.rng.Perm(len(p.Placers))[:min(n, len(p.Placers))]
+		p.mu.Unlock()
+		for _, i := range order {
+			p.Kill(p.Placers[i])
+		}
+		wait(t.For)
+		for _, i := range order {
+			if err := p.Up(p.Placers[i]); err != nil {
+				p.note("placer %s did not come back: %v", p.Placers[i].Name, err)
+			}
+		}
+	},
+	"burst": func(p *player, t Trouble, wait func(time.Duration)) {
+		p.Owners.Rate(p.day.Rate * t.Size)
+		wait(t.For)
+		p.Owners.Rate(p.day.Rate)
+	},
+	"asked again": func(p *player, t Trouble, wait func(time.Duration)) {
+		p.Owners.Reask(t.Part)
+		wait(t.For)
+	},
+	"answers lost": func(p *player, t Trouble, wait func(time.Duration)) {
+		end := p.fault(func(_ string, far link.Role, _ string) tap.Fault {
+			if far == link.Machine {
+				return tap.Fault{LoseAnswers: t.Size}
+			}
+			return tap.Fault{}
+		})
+		wait(t.For)
+		end()
+	},
+	"late network": func(p *player, t Trouble, wait func(time.Duration)) {
+		end := p.fault(func(string, link.Role, string) tap.Fault {
+			return tap.Fault{Delay: time.Duration(t.Size * float64(time.Millisecond))}
+		})
+		wait(t.For)
+		end()
+	},
+	"workload unanswered": func(p *player, t Trouble, wait func(time.Duration)) {
+		ms := p.some(t.Part)
+		for _, m := range ms {
+			m.Shun(int(t.Size), true)
+		}
+		wait(t.For)
+		for _, m := range ms {
+			m.Shun(int(t.Size), false)
+		}
+	},
+	"customer turned away": func(p *player, t Trouble, wait func(time.Duration)) {
+		ms := p.some(t.Part)
+		for _, m := range ms {
+			m.Throttle(int(t.Size), true)
+		}
+		wait(t.For)
+		for _, m := range ms {
+			m.Throttle(int(t.Size), false)
+		}
+	},
+	"memory swells": func(p *player, t Trouble, wait func(time.Duration)) {
+		ms := p.some(t.Part)
+		for _, m := range ms {
+			m.Swell(t.Size)
+		}
+		wait(t.For)
+		for _, m := range ms {
+			m.Swell(1)
+		}
+	},
+	"fleet grows": func(p *player, t Trouble, wait func(time.Duration)) {
+		p.restart(p.some(t.Part), t.For, wait)
+	},
+}
+
+func kindsOfTrouble() []string {
+	var all []string
+	for k := range troubles {
+		all = append(all, k)
+	}
+	sort.Strings(all)
+	return all
+}
+
+// restart takes machines down and up again, cold.
+func (p *player) restart(ms []*standin.Machine, down time.Duration, wait func(time.Duration)) {
+	for _, m := range ms {
+		m.Crash()
+	}
+	wait(down)
+	for _, m := range ms {
+		if err := m.Up(false); err != nil {
+			p.note("machine %s did not come back: %v", m.Name, err)
+		}
+	}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -26,6 +26,7 @@
 	Connect   loop.Tick
 	Idle      loop.Tick
 	Silent    loop.Tick
+	Kinds     []string // their names, in the order of the terms
 	Workloads []string
 	Customers []string
 }
@@ -259,6 +260,7 @@
 			c.fail(k.Name.Place, "kind %q stands twice", k.Name.Text)
 		}
 		byName[k.Name.Text] = i
+		p.Kinds = append(p.Kinds, k.Name.Text)
 		if k.Memory.GiB <= 0 {
 			c.fail(k.Memory.Place, "a machine needs memory above 0")
 		}
--- /dev/null
+++ b/internal/standin/list.go
@@ -0,0 +1,282 @@
+package standin
+
+import (
+	"net"
+	"sync"
+	"time"
+
+	"glenport/internal/link"
+)
+
+// List is the list service: what it says is some time old, and it answers only so many calls a second.
+type List struct {
+	Lag     time.Duration // from a change to its place in the list
+	Notice  time.Duration // until a dead machine is taken as gone
+	Period  time.Duration // between looks at the machines
+	CallsPS int
+	Address func(*Machine) string // what the list says of where a machine is
+
+	mu       sync.Mutex
+	machines []*Machine
+	log      []link.Entry // the change that made version i+1
+	now      map[string]link.Entry
+	born     map[string]time.Time
+	dead     map[string]time.Time
+	marked   map[string]link.State // by an operator
+	callers  map[*listCaller]bool  // whether they watch
+	away     bool
+	stale    time.Duration
+	calls    []time.Time
+	listener net.Listener
+	stop     chan struct{}
+	working  sync.WaitGroup
+}
+
+type listCaller struct {
+	net.Conn
+	out chan link.Frame
+}
+
+// send queues a frame; whoever lets a thousand wait is dropped.
+func (c *listCaller) send(f link.Frame) {
+	select {
+	case c.out <- f:
+	default:
+		c.Close()
+	}
+}
+
+func (c *listCaller) writeAll(stop chan struct{}) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		var f link.Frame
+		select {
+		case f = <-c.out:
+		case <-tick.C:
+			f = &link.Beat{}
+		case <-stop:
+			return
+		}
+		p, err := link.Append(nil, f)
+		if err != nil {
+			panic(err)
+		}
+		c.SetWriteDeadline(time.Now().Add(2 * time.Second))
+		if _, err := c.Write(p); err != nil {
+			c.Close()
+			return
+		}
+	}
+}
+
+// Open starts the service for machines that are up by now.
+func (l *List) Open(machines []*Machine) (addr string, err error) {
+	if l.listener, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		return "", err
+	}
+	l.machines, l.stop = machines, make(chan struct{})
+	l.now, l.born, l.dead = map[string]link.Entry{}, map[string]time.Time{}, map[string]time.Time{}
+	l.marked, l.callers = map[string]link.State{}, map[*listCaller]bool{}
+	l.apply(l.look())
+	l.working.Go(l.watch)
+	l.working.Go(func() {
+		for {
+			c, err := l.listener.Accept()
+			if err != nil {
+				return
+			}
+			l.working.Go(func() { l.serve(&listCaller{c, make(chan link.Frame, 1000)}) })
+		}
+	})
+	return l.listener.Addr().String(), nil
+}
+
+func (l *List) Close() {
+	close(l.stop)
+	l.listener.Close()
+	l.Away(true)
+	l.working.Wait()
+}
+
+// Mark sets what an operator says of a machine.
+func (l *List) Mark(m *Machine, s link.State) {
+	l.mu.Lock()
+	l.marked[m.Name] = s
+	l.mu.Unlock()
+}
+
+// Away makes the service unreachable, or reachable again.
+func (l *List) Away(on bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.away = on; on {
+		for c := range l.callers {
+			c.Close()
+		}
+	}
+}
+
+// Stale makes the list run so much further behind.
+func (l *List) Stale(by time.Duration) {
+	l.mu.Lock()
+	l.stale = by
+	l.mu.Unlock()
+}
+
+func (l *List) watch() {
+	tick := time.NewTicker(l.Period)
+	defer tick.Stop()
+	for {
+		select {
+		case <-l.stop:
+			return
+		case <-tick.C:
+		}
+		seen := l.look()
+		l.mu.Lock()
+		lag := l.Lag + l.stale
+		l.mu.Unlock()
+		if lag == 0 {
+			l.apply(seen)
+			continue
+		}
+		time.AfterFunc(lag, func() { l.apply(seen) })
+	}
+}
+
+// look takes down what the machines are like now.
+func (l *List) look() []link.Entry {
+	var all []link.Entry
+	now := time.Now()
+	for _, m := range l.machines {
+		s, ok := m.State()
+		l.mu.Lock()
+		e, known := l.now[m.Name]
+		if ok {
+			e = link.Entry{Machine: m.Name, Addr: l.Address(m), Zone: m.ZoneN, Kind: m.KindN, Cell: m.CellN,
+				FreeCores: s.FreeCores, FreeMemory: s.FreeMemory, Hint: 1, Incarnation: s.Incarnation, State: l.marked[m.Name]}
+			l.born[m.Name] = s.Started
+		}
+		switch dead, was := l.dead[m.Name]; {
+		case ok && s.Up:
+			delete(l.dead, m.Name)
+		case !was:
+			l.dead[m.Name] = now
+		case now.Sub(dead) > l.Notice:
+			e.State = link.Gone
+		}
+		l.mu.Unlock()
+		if known || ok && s.Up {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// apply puts what has changed into the list and tells the watchers.
+func (l *List) apply(seen []link.Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changed []link.Entry
+	for _, e := range seen {
+		e.Age = 0
+		old, known := l.now[e.Machine]
+		if known && old == e || !known && e.State == link.Gone {
+			continue
+		}
+		if e.State == link.Gone && known && old.State == link.Gone {
+			continue
+		}
+		l.now[e.Machine] = e
+		l.log = append(l.log, e)
+		changed = append(changed, e)
+	}
+	if len(changed) == 0 || l.away {
+		return
+	}
+	f := &link.Listed{Version: int64(len(l.log)), Entries: l.aged(changed)}
+	for c, watches := range l.callers {
+		if watches {
+			c.send(f)
+		}
+	}
+}
+
+func (l *List) aged(entries []link.Entry) []link.Entry {
+	out := append([]link.Entry(nil), entries...)
+	for i := range out {
+		out[i].Age = link.Span(time.Since(l.born[out[i].Machine]).Microseconds() / 100)
+	}
+	return out
+}
+
+func (l *List) serve(c *listCaller) {
+	defer c.Close()
+	f, err := link.Read(c, 1024)
+	if hello, ok := f.(*link.Hello); err != nil || !ok || hello.Role != link.Placer {
+		return
+	}
+	l.mu.Lock()
+	away := l.away
+	if !away {
+		l.callers[c] = false
+	}
+	l.mu.Unlock()
+	if away {
+		return
+	}
+	gone := make(chan struct{})
+	defer close(gone)
+	c.send(link.Greeting(link.List, "list", 1))
+	l.working.Go(func() { c.writeAll(gone) })
+	defer func() {
+		l.mu.Lock()
+		delete(l.callers, c)
+		l.mu.Unlock()
+	}()
+	for {
+		f, err := link.Read(c, link.MostFrame)
+		if err != nil {
+			return
+		}
+		if a := l.asked(c, f); a != nil {
+			c.send(a)
+		}
+	}
+}
+
+func (l *List) asked(c *listCaller, f link.Frame) link.Frame {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	for len(l.calls) > 0 && now.Sub(l.calls[0]) > time.Second {
+		l.calls = l.calls[1:]
+	}
+	if l.calls = append(l.calls, now); l.CallsPS > 0 && len(l.calls) > l.CallsPS {
+		return &link.Failed{Text: "too many calls"}
+	}
+	version := int64(len(l.log))
+	since := int64(0)
+	if w, ok := f.(*link.Watch); ok {
+		if !w.On {
+			l.callers[c] = false
+			return nil
+		}
+		l.callers[c] = true
+		since = w.Since
+	} else if _, ok := f.(*link.Fetch); !ok {
+		return nil
+	}
+	if since > 0 && since <= version && version-since < 10_000 {
+		return &link.Listed{Version: version, Entries: l.aged(l.log[since:])}
+	}
+	whole := &link.Listed{Whole: true, Version: version}
+	for _, m := range l.machines {
+		if e, ok := l.now[m.Name]; ok && e.State != link.Gone {
+			whole.Entries = append(whole.Entries, e)
+		}
+	}
+	whole.Entries = l.aged(whole.Entries)
+	return whole
+}
--- /dev/null
+++ b/internal/tap/record.go
@@ -0,0 +1,123 @@
+// Package tap sits on the sockets between placers and what they talk to: it passes frames on, writes down what
+// passed and when, and plays faults of the network. It is no part of a placer.
+package tap
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"glenport/internal/link"
+	"glenport/placer"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Sort tells what an entry of a record is.
+type Sort uint8
+
+const (
+	Opened Sort = 1 + iota // a link, once both sides have greeted or the caller has
+	Closed
+	FromPlacer // a frame that a placer sent, when it was sent
+	ToPlacer   // a frame that a placer got, when it was passed on
+	Killed     // a placer was killed, or came up, by Placer's name
+	Started
+	Lost // a frame to a placer that the network lost
+)
+
+// Entry is one line of a record; times are tenths of a millisecond since its start.
+type Entry struct {
+	_      struct{} `cbor:",toarray"`
+	At     int64
+	Sort   Sort
+	Link   uint32
+	Placer string
+	Far    link.Role // what is at the other end
+	Name   string    // and its name
+	Frame  []byte    // without its length
+}
+
+// Decoded is the frame of an entry.
+func (e *Entry) Decoded() (link.Frame, error) { return link.Decode(e.Frame) }
+
+// Header says what a record must be judged by.
+type Header struct {
+	_          struct{} `cbor:",toarray"`
+	Format     string
+	Terms      placer.Terms
+	DrainGrace placer.Time
+	Slack      placer.Time // by which a time on the sockets may differ from a placer's own
+}
+
+const format = "glenport record 1"
+
+// Writer writes a record; any goroutine may use it.
+type Writer struct {
+	mu    sync.Mutex
+	began time.Time
+	out   *bufio.Writer
+	file  *os.File
+	enc   *cbor.Encoder
+	err   error
+}
+
+// Create begins a record in a file.
+func Create(path string, h Header) (*Writer, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	w := &Writer{began: time.Now(), out: bufio.NewWriterSize(f, 1<<20), file: f}
+	w.enc = cbor.NewEncoder(w.out)
+	h.Format = format
+	w.err = w.enc.Encode(h)
+	return w, nil
+}
+
+func (w *Writer) put(e Entry) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	e.At = time.Since(w.began).Microseconds() / 100
+	if err := w.enc.Encode(e); err != nil && w.err == nil {
+		w.err = err
+	}
+}
+
+// Note writes down that a placer was killed or started.
+func (w *Writer) Note(s Sort, placer string) { w.put(Entry{Sort: s, Placer: placer}) }
+
+// Close ends the record and tells the first fault met in writing it.
+func (w *Writer) Close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return errors.Join(w.err, w.out.Flush(), w.file.Close())
+}
+
+// Read reads a record's header, then hands each entry to each.
+func Read(path string, h *Header, each func(*Entry) error) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	d := cbor.NewDecoder(bufio.NewReaderSize(f, 1<<20))
+	if err := d.Decode(h); err != nil || h.Format != format {
+		return fmt.Errorf("%s is no %s (%v)", path, format, err)
+	}
+	for n := 1; ; n++ {
+		var e Entry
+		if err := d.Decode(&e); err == io.EOF {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("%s: entry %d: %w", path, n, err)
+		}
+		if err := each(&e); err != nil {
+			return err
+		}
+	}
+}
