--- a/cmd/glenport-lab/load.go
+++ b/cmd/glenport-lab/load.go
@@ -1,5 +1,50 @@
 package main
 
-import "github.com/spf13/cobra"
+import (
+	"fmt"
+	"os"
+	"text/tabwriter"
+	"time"
 
-func loadCommand() *cobra.Command { return &cobra.Command{Use: "load", Hidden: true} }
+	"glenport/internal/lab"
+
+	"github.com/spf13/cobra"
+)
+
+// loadCommand measures one placer against stand-ins that answer at once.
+func loadCommand() *cobra.Command {
+	var machines, rates []int
+	var length, life time.Duration
+	var template string
+	c := &cobra.Command{Use: "load", Short: "Measure one placer against machines that answer at once", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			program, err := placerProgram(0)
+			if err != nil {
+				return err
+			}
+			w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+			fmt.Fprintln(w, "machines\tasked/s\tplaced/s\tp50 ms\tp99 ms\tp99.9 ms\tworst ms\tbusy\tdeciding\tof busy\tlive MiB\tbefore\topen\t")
+			for _, m := range machines {
+				for _, r := range rates {
+					dir, done, err := folder("")
+					if err != nil {
+						return err
+					}
+					l, err := lab.MeasureLoad(template, dir, program, m, r, length, life)
+					done()
+					if err != nil {
+						return err
+					}
+					fmt.Fprintf(w, "%d\t%d\t%.0f\t%.2f\t%.2f\t%.2f\t%.2f\t%.0f%%\t%.1f us\t%.0f%%\t%.1f\t%.1f\t%.0f\t\n", m, r, l.PlacedPerSecond,
+						l.P50, l.P99, l.P999, l.Worst, 100*l.Busy, l.DecidingEach, 100*l.Deciding, l.MiB, l.MiBBefore, l.Open)
+				}
+			}
+			return w.Flush()
+		}}
+	c.Flags().IntSliceVar(&machines, "machines", []int{10, 100, 1000}, "how many machines")
+	c.Flags().IntSliceVar(&rates, "rates", []int{300, 3000}, "submissions a second")
+	c.Flags().DurationVar(&length, "length", 10*time.Second, "of each measurement")
+	c.Flags().DurationVar(&life, "life", 2*time.Second, "of each container")
+	c.Flags().StringVar(&template, "placer-file", "days/placer.yaml", "the placer's terms")
+	return c
+}
--- a/cmd/glenport-lab/main.go
+++ b/cmd/glenport-lab/main.go
@@ -99,8 +99,12 @@
 }
 
 func auditCommand() *cobra.Command {
-	return &cobra.Command{Use: "audit RECORD", Short: "Judge a record alone", Args: cobra.ExactArgs(1),
+	var container string
+	c := &cobra.Command{Use: "audit RECORD", Short: "Judge a record alone", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
+			if container != "" {
+				return audit.Show(args[0], container, os.Stdout)
+			}
 			j, err := audit.Record(args[0])
 			if err != nil {
 				return err
@@ -113,6 +117,8 @@
 			fmt.Println("rules: kept")
 			return nil
 		}}
+	c.Flags().StringVar(&container, "show", "", "show what passed for this container instead")
+	return c
 }
 
 func replayCommand() *cobra.Command {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -275,7 +275,16 @@
 		m.offer(b)
 		return
 	}
+	// It waits for its link no longer than a link may take. The module counts what it sends a cold machine by
+	// the moment it decides, with an eighth of the window kept for the way; bids that pile up behind a link
+	// that is slow to stand would arrive together and push the machine over.
 	m.waiting = append(m.waiting, b)
+	h.loop.After(h.site.Connect, func() {
+		if m.forgetWaiting(b) {
+			h.meter.outcome("no connection")
+			h.over(b, placer.Ended{Outcome: placer.NoConnect})
+		}
+	})
 	h.reach(m)
 }
 
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -154,13 +154,15 @@
 	m.h.meter.bid(b.c)
 }
 
-func (m *machine) forgetWaiting(b *bid) {
+// forgetWaiting takes a bid out of those that wait for the link, if it does.
+func (m *machine) forgetWaiting(b *bid) bool {
 	for i, w := range m.waiting {
 		if w == b {
 			m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // expectLate remembers a bid that is over and may be said yes to.
--- a/internal/host/meter.go
+++ b/internal/host/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"runtime/metrics"
 	"time"
 
 	"glenport/internal/link"
@@ -94,9 +95,10 @@
 	put("busy", busy.Seconds(), "s")
 	put("deciding", m.handling.Seconds(), "s")
 	put("slowest decision", m.slowest.Seconds()*1000, "ms")
-	var mem runtime.MemStats
-	runtime.ReadMemStats(&mem)
-	put("heap in use", float64(mem.HeapAlloc)/(1<<20), "MiB")
+	live := []metrics.Sample{{Name: "/gc/heap/live:bytes"}, {Name: "/memory/classes/total:bytes"}} // asks nothing to stop
+	metrics.Read(live)
+	put("heap live", float64(live[0].Value.Uint64())/(1<<20), "MiB")
+	put("memory", float64(live[1].Value.Uint64())/(1<<20), "MiB")
 	put("goroutines", float64(runtime.NumGoroutine()), "")
 	return s
 }
--- /dev/null
+++ b/internal/lab/load.go
@@ -0,0 +1,255 @@
+package lab
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"glenport/internal/link"
+)
+
+// Load is what a placer did under a load.
+type Load struct {
+	PlacedPerSecond float64
+	P50, P99, P999  float64 // ms from a submission at the door to its bid on the socket
+	Worst           float64
+	Busy            float64 // part of the time that the loop was at work
+	Deciding        float64 // part of that spent in the module
+	DecidingEach    float64 // microseconds of it a container
+	MiB             float64
+	MiBBefore       float64 // with all links open and nothing submitted
+	Open            float64 // containers known at the end
+	Connections     float64
+}
+
+// instant is a machine that says yes to every offer as it comes and ends each container when its time is up. It
+// has no state beyond that, so that what is measured is the placer.
+type instant struct {
+	name string
+	net.Listener
+}
+
+func (m *instant) serve(each *sync.WaitGroup, stop chan struct{}) {
+	for {
+		c, err := m.Accept()
+		if err != nil {
+			return
+		}
+		each.Go(func() {
+			defer c.Close()
+			if _, err := link.Read(c, 1024); err != nil {
+				return
+			}
+			hello, _ := link.Append(nil, link.Greeting(link.Machine, m.name, 1))
+			hello, _ = link.Append(hello, &link.Holds{Incarnation: 1})
+			c.Write(hello)
+			var mu sync.Mutex // keeps frames whole: two sides write
+			var p []byte
+			put := func(f link.Frame) {
+				mu.Lock()
+				p, _ = link.Append(p[:0], f)
+				c.Write(p)
+				mu.Unlock()
+			}
+			each.Go(func() {
+				for {
+					select {
+					case <-stop:
+						c.Close()
+						return
+					case <-time.After(time.Second):
+						put(&link.Beat{})
+					}
+				}
+			})
+			for {
+				f, err := link.Read(c, link.MostFrame)
+				if err != nil {
+					return
+				}
+				if o, ok := f.(*link.Offer); ok {
+					put(&link.Yes{Bid: o.Bid, Running: true})
+					time.AfterFunc(time.Duration(o.Work.RunFor)*100*time.Microsecond, func() {
+						put(&link.Result{Bid: o.Bid})
+					})
+				}
+			}
+		})
+	}
+}
+
+// list answers every question with all machines.
+func instantList(l net.Listener, machines []*instant, each *sync.WaitGroup, stop chan struct{}) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		each.Go(func() {
+			defer c.Close()
+			hello, _ := link.Append(nil, link.Greeting(link.List, "list", 1))
+			c.Write(hello)
+			var mu sync.Mutex
+			each.Go(func() {
+				beat, _ := link.Append(nil, &link.Beat{})
+				for {
+					select {
+					case <-stop:
+						c.Close()
+						return
+					case <-time.After(time.Second):
+						mu.Lock()
+						c.Write(beat)
+						mu.Unlock()
+					}
+				}
+			})
+			for {
+				f, err := link.Read(c, 1<<20)
+				if err != nil {
+					return
+				}
+				if _, ok := f.(*link.Watch); !ok {
+					continue
+				}
+				all := &link.Listed{Whole: true, Version: 1}
+				for i, m := range machines {
+					all.Entries = append(all.Entries, link.Entry{Machine: m.name, Addr: m.Addr().String(), Zone: i % 3, Kind: i % 2,
+						Cell: i / 4, FreeCores: 100, FreeMemory: 100, Hint: 1, Incarnation: 1, Age: -1})
+				}
+				p, _ := link.Append(nil, all)
+				mu.Lock()
+				c.Write(p)
+				mu.Unlock()
+			}
+		})
+	}
+}
+
+// MeasureLoad runs one placer process for a while against machines that answer at once.
+func MeasureLoad(template, dir string, program []string, machines, rate int, length, life time.Duration) (*Load, error) {
+	text, err := os.ReadFile(template)
+	if err != nil {
+		return nil, err
+	}
+	stop := make(chan struct{})
+	var all sync.WaitGroup
+	var listeners []net.Listener
+	defer func() {
+		close(stop)
+		for _, l := range listeners {
+			l.Close()
+		}
+		all.Wait()
+	}()
+	var fleet []*instant
+	for i := range machines {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		m := &instant{fmt.Sprintf("machine-%04d", i), l}
+		listeners = append(listeners, l)
+		fleet = append(fleet, m)
+		all.Go(func() { m.serve(&all, stop) })
+	}
+	list, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	listeners = append(listeners, list)
+	all.Go(func() { instantList(list, fleet, &all, stop) })
+	p := &Placer{Name: "measured", run: program, file: filepath.Join(dir, "placer.yaml")}
+	if p.Door, err = freePort(); err != nil {
+		return nil, err
+	}
+	if p.log, err = os.Create(filepath.Join(dir, "placer.log")); err != nil {
+		return nil, err
+	}
+	defer p.log.Close()
+	if _, err := placerFile(text, p.file, map[string]any{"name": "measured", "number": 0, "placers": 1, "door": p.Door,
+		"keep": filepath.Join(dir, "list"), "list": map[string]any{"address": list.Addr().String()},
+		"links":  map[string]any{"close_idle_after": "10min"},
+		"bounds": map[string]any{"open_containers": 1000000, "open_containers_of_one_owner": 1000000}}); err != nil {
+		return nil, err
+	}
+	if err := p.Start(); err != nil {
+		return nil, err
+	}
+	defer p.Stop(9)
+	for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+		if s, err := p.Status(); err == nil && int(s["connections"]) >= machines {
+			break
+		}
+		if time.Now().After(end) {
+			return nil, fmt.Errorf("the placer has no links to all %d machines after 20 s", machines)
+		}
+	}
+	before, err := p.Status()
+	if err != nil {
+		return nil, err
+	}
+	placed, err := submitSteadily(p.Door, rate, length, life)
+	if err != nil {
+		return nil, err
+	}
+	s, err := p.Status()
+	if err != nil {
+		return nil, err
+	}
+	busy := s["busy"] - before["busy"]
+	deciding := s["deciding"] - before["deciding"]
+	return &Load{PlacedPerSecond: float64(placed) / length.Seconds(), P50: s["placing p50"], P99: s["placing p99"],
+		P999: s["placing p99.9"], Worst: s["placing worst"], Busy: busy / (s["up"] - before["up"]), Deciding: deciding / busy,
+		DecidingEach: deciding / s["submissions"] * 1e6, MiB: s["heap live"], MiBBefore: before["heap live"],
+		Open: s["containers known"], Connections: s["connections"]}, nil
+}
+
+// submitSteadily submits at even intervals, whatever the answers, and counts those that say placed.
+func submitSteadily(door string, rate int, length, life time.Duration) (int, error) {
+	c, err := net.Dial("tcp", door)
+	if err != nil {
+		return 0, err
+	}
+	defer c.Close()
+	p, _ := link.Append(nil, link.Greeting(link.Owner, "load", 1))
+	c.Write(p)
+	var placed atomic.Int64
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			f, err := link.Read(c, link.MostFrame)
+			if err != nil {
+				return
+			}
+			if a, ok := f.(*link.Answer); ok && a.Verdict == link.Placed {
+				placed.Add(1)
+			}
+		}
+	}()
+	total := int(float64(rate) * length.Seconds())
+	began := time.Now()
+	p = p[:0]
+	for i := 0; i < total; {
+		due := int(time.Since(began).Seconds() * float64(rate))
+		for p = p[:0]; i < min(due, total); i++ {
+			id := fmt.Sprint("c", i)
+			p, _ = link.Append(p, &link.Submit{Left: 40000, Work: link.Work{Container: id, Key: id, Service: fmt.Sprint("s", i%500),
+				Cores: 0.5, Memory: 1, RunFor: link.Span(life.Microseconds() / 100)}})
+		}
+		if _, err := c.Write(p); err != nil {
+			return 0, err
+		}
+		time.Sleep(500 * time.Microsecond)
+	}
+	time.Sleep(time.Second)
+	n := int(placed.Load())
+	c.Close()
+	<-done
+	return n, nil
+}
--- a/internal/lab/run.go
+++ b/internal/lab/run.go
@@ -131,7 +131,7 @@
 		s := o.Status[n]
 		fmt.Fprintf(out, "%s: submission to bid p50 %.2f ms, p99 %.2f ms, p99.9 %.2f ms; busy %.1f%%, deciding %.1f%% of that; "+
 			"%.0f taken over, %.0f MiB, %.0f goroutines\n", n, s["placing p50"], s["placing p99"], s["placing p99.9"],
-			100*s["busy"]/s["up"], 100*s["deciding"]/s["busy"], s["containers taken over"], s["heap in use"], s["goroutines"])
+			100*s["busy"]/s["up"], 100*s["deciding"]/s["busy"], s["containers taken over"], s["memory"], s["goroutines"])
 	}
 	fmt.Fprintf(out, "record: %d frames, %d submissions, %d offers, %d yeses; cold machines at most at %d of %d offers in a window, "+
 		"%d pushed over; last offer after a drain was told %.1f ms\n", j.Frames, j.Submitted, j.Offers, j.Running, j.ColdMost,
--- a/internal/tap/record.go
+++ b/internal/tap/record.go
@@ -24,7 +24,7 @@
 	Opened Sort = 1 + iota // a link, once both sides have greeted or the caller has
 	Closed
 	FromPlacer // a frame that a placer sent, when it was sent
-	ToPlacer   // a frame that a placer got, when it was passed on
+	ToPlacer   // a frame that a placer got, just before it was passed on
 	Killed     // a placer was killed, or came up, by Placer's name
 	Started
 	Lost // a frame to a placer that the network lost
@@ -56,14 +56,15 @@
 
 const format = "glenport record 1"
 
-// Writer writes a record; any goroutine may use it.
+// Writer writes a record; any goroutine may use it. Entries are stamped and put in order at once, and encoded and
+// written by a goroutine of their own: a slow disk must not hold up what passes.
 type Writer struct {
-	mu    sync.Mutex
 	began time.Time
-	out   *bufio.Writer
-	file  *os.File
-	enc   *cbor.Encoder
-	err   error
+	mu    sync.Mutex
+	due   []Entry
+	more  *sync.Cond
+	ended bool
+	done  chan error
 }
 
 // Create begins a record in a file.
@@ -72,20 +73,43 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &Writer{began: time.Now(), out: bufio.NewWriterSize(f, 1<<20), file: f}
-	w.enc = cbor.NewEncoder(w.out)
+	w := &Writer{began: time.Now(), done: make(chan error, 1)}
+	w.more = sync.NewCond(&w.mu)
 	h.Format = format
-	w.err = w.enc.Encode(h)
+	go func() { w.done <- w.write(f, h) }()
 	return w, nil
 }
 
+// write encodes what is due until the end; it goes on past a fault, so that nobody waits, and tells the first.
+func (w *Writer) write(f *os.File, h Header) error {
+	out := bufio.NewWriterSize(f, 1<<20)
+	enc := cbor.NewEncoder(out)
+	first := enc.Encode(h)
+	for {
+		w.mu.Lock()
+		for len(w.due) == 0 && !w.ended {
+			w.more.Wait()
+		}
+		due, ended := w.due, w.ended
+		w.due = nil
+		w.mu.Unlock()
+		for i := range due {
+			if err := enc.Encode(due[i]); err != nil && first == nil {
+				first = err
+			}
+		}
+		if ended && len(due) == 0 {
+			return errors.Join(first, out.Flush(), f.Close())
+		}
+	}
+}
+
 func (w *Writer) put(e Entry) {
 	w.mu.Lock()
-	defer w.mu.Unlock()
 	e.At = time.Since(w.began).Microseconds() / 100
-	if err := w.enc.Encode(e); err != nil && w.err == nil {
-		w.err = err
-	}
+	w.due = append(w.due, e)
+	w.more.Signal()
+	w.mu.Unlock()
 }
 
 // Note writes down that a placer was killed or started.
@@ -94,8 +118,10 @@
 // Close ends the record and tells the first fault met in writing it.
 func (w *Writer) Close() error {
 	w.mu.Lock()
-	defer w.mu.Unlock()
-	return errors.Join(w.err, w.out.Flush(), w.file.Close())
+	w.ended = true
+	w.more.Signal()
+	w.mu.Unlock()
+	return <-w.done
 }
 
 // Read reads a record's header, then hands each entry to each.
--- a/internal/tap/tap.go
+++ b/internal/tap/tap.go
@@ -108,7 +108,8 @@
 	placer      string
 	name        string
 	ends        [2]net.Conn // the caller, the called
-	dead        bool
+	dead        bool        // nothing more passes
+	over        bool        // and its end is written down
 }
 
 func (w *wire) reset() {
@@ -166,7 +167,6 @@
 	called.Close()
 	caller.Close()
 	<-done
-	n.record.put(Entry{Sort: Closed, Link: w.id, Placer: w.placer, Far: w.far, Name: w.name})
 	n.mu.Lock()
 	delete(n.links, w)
 	n.mu.Unlock()
@@ -188,10 +188,15 @@
 			if !w.let(h.p, h.at, fromPlacer) {
 				continue
 			}
+			if !fromPlacer {
+				// Before it goes: a placer may answer before this goroutine runs again, and the record
+				// must not show the answer first.
+				if !w.put(ToPlacer, h.p) {
+					continue
+				}
+			}
 			if _, err := w.ends[1-from].Write(h.p); err != nil {
 				w.ends[from].Close()
-			} else if !fromPlacer {
-				w.put(ToPlacer, h.p)
 			}
 		}
 	})
@@ -211,12 +216,33 @@
 			break
 		}
 	}
+	// What the far end sent before it closed still arrives, when the network lets it. A placer's own end is told
+	// at once, and what it had sent is lost with it.
+	if fromPlacer {
+		w.end()
+	}
 	close(queue)
 	<-stopped
 }
 
-func (w *wire) put(s Sort, p []byte) {
+// end writes down that the link is over for its placer, and lets nothing more pass.
+func (w *wire) end() {
+	w.n.mu.Lock()
+	defer w.n.mu.Unlock()
+	w.over, w.dead = true, true
+	w.n.changed.Broadcast()
+	w.n.record.put(Entry{Sort: Closed, Link: w.id, Placer: w.placer, Far: w.far, Name: w.name})
+}
+
+// put writes a frame down, unless its placer's end is over: the record of a link ends with that end.
+func (w *wire) put(s Sort, p []byte) bool {
+	w.n.mu.Lock()
+	defer w.n.mu.Unlock()
+	if w.over {
+		return false
+	}
 	w.n.record.put(Entry{Sort: s, Link: w.id, Placer: w.placer, Far: w.far, Name: w.name, Frame: p[4:]})
+	return true
 }
 
 // let waits while the link is cut and tells whether a frame arrives at all.
