--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -385,7 +385,11 @@
 	n := len(s.offers)
 	j.ColdMost, j.ColdBound = max(j.ColdMost, n), t.ColdBids
 	if n > t.ColdBids {
-		j.fail(4, e.At, nil, "cold machine %s, up since %.1f ms, is offered %d in %.1f ms, and bears %d; the last by %s",
+		var frames []string
+		for _, at := range s.offers {
+			frames = append(frames, fmt.Sprintf("%.1f ms an offer or a probe for %s", float64(at)/10, e.Name))
+		}
+		j.fail(4, e.At, frames, "cold machine %s, up since %.1f ms, is offered %d in %.1f ms, and bears %d; the last by %s",
 			e.Name, float64(s.began)/10, n, float64(t.ColdWindow)/10, t.ColdBids, l.name)
 	}
 }
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -153,9 +153,13 @@
 		name     string
 		workload int
 		withdraw bool
+		wait     placer.Time // 0: to the hard stop
 		want     string
-	}{{"timed out, reissuable", 0, false, "called off"}, {"timed out, at-most-once", 2, false, "taken over"},
-		{"withdrawn, at-most-once", 2, true, "taken over"}} {
+	}{{"timed out, reissuable", 0, false, 200 * placer.Millisecond, "called off"},
+		{"timed out, at-most-once", 2, false, 200 * placer.Millisecond, "taken over"},
+		{"after the hard stop, reissuable", 0, false, 0, "called off"},
+		{"after the hard stop, at-most-once", 2, false, 0, "taken over"},
+		{"withdrawn, at-most-once", 2, true, 0, "taken over"}} {
 		t.Run(tc.name, func(t *testing.T) {
 			called := make(chan string, 10)
 			late := make(chan uint64, 1)
@@ -170,7 +174,7 @@
 				}
 				return true
 			})
-			on := bidTo(200 * placer.Millisecond)
+			on := bidTo(tc.wait)
 			r := start(t, terms(t), func(e placer.Event) []placer.Action {
 				if _, ok := e.(placer.Ended); ok {
 					return append(on(e), placer.Probe{Machine: "a"})
@@ -187,7 +191,7 @@
 				r.h.loop.Post(func() { r.h.reach(r.h.machines["a"]) })
 				until(t, func() bool { return on1(r.h, func() bool { return r.h.machines["a"].ready }) })
 			}
-			r.door.submit("x", tc.workload)
+			put(r.door, &link.Submit{Left: 3000, Work: link.Work{Container: "x", Key: "k-x", Service: "s", Workload: tc.workload}})
 			if a := r.door.answer(); a.Verdict != link.GivenUp {
 				t.Errorf("answered %v", a)
 			}
