--- a/placer/api.go
+++ b/placer/api.go
@@ -292,3 +292,22 @@
 func (Watch) action()      {}
 func (Fetch) action()      {}
 func (Log) action()        {}
+
+// Explanation answers why a container may find no machine: how many machines each filter leaves out.
+type Explanation struct {
+	Machines    int // listed and not gone; the sum of those below but Gone
+	Gone        int
+	OtherKind   int
+	Draining    int
+	TooSmall    int
+	Closing     int // on their own word: sending containers away, or evicting
+	SpreadFull  int
+	ColdSpent   int
+	Resting     int // look sick
+	Shunned     int
+	NoCores     int // by the asks that the list tells
+	NoMemory    int
+	Free        int
+	Yielding    bool // low gain is pushed back
+	NoRoomShare float64
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -787,6 +787,56 @@
 	}
 }
 
+// Explain tells what stands between a container and each machine, as of the last batch: a machine counts
+// under the first filter that leaves it out, or under what the list says of its room. It changes nothing.
+func (p *Placer) Explain(a Ask) Explanation {
+	x := Explanation{Yielding: p.full > overAsked, NoRoomShare: p.full}
+	if a.Workload >= len(p.terms.Workloads) {
+		return x
+	}
+	c := &container{ask: a, workload: &p.terms.Workloads[a.Workload], service: p.services[a.Service]}
+	if c.service == nil {
+		c.service = &service{name: a.Service, held: map[*machine]int{}}
+	}
+	for _, m := range p.order {
+		w, t := c.workload, &p.terms
+		if !m.listed || m.state == Gone {
+			x.Gone++
+			continue
+		}
+		x.Machines++
+		k, asks := t.Kinds[m.kind], m.listAsks
+		if asks.cores < m.asked.cores || asks.memory < m.asked.memory {
+			asks = room{max(asks.cores, m.asked.cores), max(asks.memory, m.asked.memory)}
+		}
+		switch {
+		case w.Kind >= 0 && w.Kind != m.kind:
+			x.OtherKind++
+		case m.state == Draining:
+			x.Draining++
+		case m.contract <= 0 || a.Cores > k.Cores*t.AcceptCores || a.Memory > k.Memory*t.AcceptMemory:
+			x.TooSmall++
+		case p.now < m.shutUntil:
+			x.Closing++
+		case !p.spreadHolds(c, m):
+			x.SpreadFull++
+		case !p.coldBears(m):
+			x.ColdSpent++
+		case m.restUntil > 0:
+			x.Resting++
+		case p.shuns(m, c):
+			x.Shunned++
+		case t.ListedAsks && asks.cores+a.Cores > k.Cores*t.AcceptCores:
+			x.NoCores++
+		case t.ListedAsks && asks.memory+a.Memory > k.Memory*t.AcceptMemory:
+			x.NoMemory++
+		default:
+			x.Free++
+		}
+	}
+	return x
+}
+
 // pcg is a permuted congruential generator of 64 bits of state (RXS M XS).
 type pcg struct{ state uint64 }
 
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -530,3 +530,51 @@
 		}
 	}
 }
+
+// The read-only question counts each machine under what keeps a container from it, and changes no decision.
+func TestExplain(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		setup func(p *Placer)
+		want  func(x Explanation) int
+		n     int
+	}{
+		{"free", func(*Placer) {}, func(x Explanation) int { return x.Free }, 4},
+		{"draining", func(p *Placer) { p.machines["a"].state = Draining }, func(x Explanation) int { return x.Draining }, 1},
+		{"gone", func(p *Placer) { p.machines["a"].state = Gone }, func(x Explanation) int { return x.Gone }, 1},
+		{"kind", func(p *Placer) { p.terms.Workloads[0].Kind = 1 }, func(x Explanation) int { return x.OtherKind }, 3},
+		{"sick", func(p *Placer) { p.machines["a"].restUntil = 1 }, func(x Explanation) int { return x.Resting }, 1},
+		{"closing", func(p *Placer) { p.machines["a"].shutUntil = p.now + 1 }, func(x Explanation) int { return x.Closing }, 1},
+		{"cold", func(p *Placer) { p.machines["a"].started, p.began = p.now+1, p.now }, func(x Explanation) int { return x.ColdSpent }, 1},
+		{"no cores", func(p *Placer) { p.terms.ListedAsks = true; p.machines["a"].listAsks.cores = 1e6 },
+			func(x Explanation) int { return x.NoCores }, 1},
+		{"no memory", func(p *Placer) { p.terms.ListedAsks = true; p.machines["a"].listAsks.memory = 1e6 },
+			func(x Explanation) int { return x.NoMemory }, 1},
+		{"spread", func(p *Placer) {
+			p.terms.Workloads[0].Spread, p.terms.Workloads[0].Most = OneMachine, 1
+			tookOver(p, "o", "s", "a")
+		}, func(x Explanation) int { return x.SpreadFull }, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p, q := fleet(terms(Reissuable)), fleet(terms(Reissuable))
+			for _, x := range []*Placer{p, q} {
+				x.now, x.began = 100*Second, 0
+				for _, m := range x.order {
+					m.listAsks = room{}
+				}
+				tc.setup(x)
+			}
+			x := p.Explain(Ask{Service: "s", Cores: 1, Memory: 1})
+			if got := tc.want(x); got != tc.n {
+				t.Errorf("%d, want %d: %+v", got, tc.n, x)
+			}
+			for i := range 20 {
+				id := ContainerID(fmt.Sprint(i))
+				p.Explain(Ask{Service: "s", Cores: 1, Memory: 1})
+				if a, b := ask(p, 100*Second, id, "s"), ask(q, 100*Second, id, "s"); a != b {
+					t.Fatalf("decided otherwise after the question: %s, %s", a, b)
+				}
+			}
+		})
+	}
+}
