Placers answer why; at-most-once work waits for the word of a silent machine

Need: owners that ask again after a give-up could start at-most-once work a second time while a silent machine runs the first; and a keeper of jobs must learn what keeps work waiting.

Change: custody keeps a doubt for each bid that ended without a word, until its machine tells or is gone; who asks again for what runs hears its fate; frames AskWhy and Why.

--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -64,6 +64,10 @@
 	}
 	// Ended says that nothing of a container is left at this placer.
 	Ended struct{ ID placer.ContainerID }
+	// Unheard is a bid that ended without a word that tells whether it ran; Told is the machine's later word that
+	// it does not run.
+	Unheard struct{ Held Held }
+	Told    struct{ Held Held }
 	// LateYes is a yes to a bid that was over.
 	LateYes struct{ Held Held }
 	// Holds is a machine's word on all it holds for this placer.
@@ -86,6 +90,8 @@
 func (Answered) event() {}
 func (Placed) event()   {}
 func (Ended) event()    {}
+func (Unheard) event()  {}
+func (Told) event()     {}
 func (LateYes) event()  {}
 func (Holds) event()    {}
 func (Broke) event()    {}
@@ -118,6 +124,7 @@
 	Stands struct {
 		Caller  Caller
 		ID      placer.ContainerID
+		As      placer.ContainerID // the id it runs under
 		Machine placer.MachineID
 	}
 	// CallOff stops a bid at its machine.
@@ -165,10 +172,19 @@
 	open    int
 	callers map[Caller]int // open containers of each
 	broken  map[placer.MachineID]*gap
-	asking  []*inquiry // in order of time
+	doubts  map[string]doubt // by key: work that must not run twice and may; emptied by its machine's word or end
+	asking  []*inquiry       // in order of time
 	wakeAt  placer.Time
 }
 
+// doubt is a bid that may run, or may have.
+type doubt struct {
+	machine placer.MachineID
+	life    uint64
+	bid     uint64
+	since   placer.Time
+}
+
 type container struct {
 	id      placer.ContainerID
 	key     string
@@ -198,7 +214,7 @@
 func New(life uint64, b Bounds, effects []placer.Effect) *Table {
 	return &Table{life: life, bounds: b, effects: effects, began: -1, own: map[placer.ContainerID]*container{},
 		keys: map[string]*container{}, at: map[placer.MachineID]map[*container]bool{},
-		callers: map[Caller]int{}, broken: map[placer.MachineID]*gap{}}
+		callers: map[Caller]int{}, broken: map[placer.MachineID]*gap{}, doubts: map[string]doubt{}}
 }
 
 // Handle takes what happened by now and returns what is to be done, in that order.
@@ -223,7 +239,16 @@
 			t.placed(e)
 		case Ended:
 			t.ended(e.ID)
+		case Unheard:
+			if h := e.Held; t.effect(h) != placer.Reissuable {
+				t.doubts[h.Ask.Key] = doubt{h.Machine, h.Life, h.Bid, now}
+			}
+		case Told:
+			if d := t.doubts[e.Held.Ask.Key]; d.bid == e.Held.Bid {
+				delete(t.doubts, e.Held.Ask.Key)
+			}
 		case LateYes:
+			delete(t.doubts, e.Held.Ask.Key)
 			t.lateYes(e.Held)
 		case Holds:
 			t.holds(e)
@@ -237,6 +262,7 @@
 			t.named(e.Machines)
 		case Unnamed:
 			t.told(e.Machine)
+			t.undoubt(e.Machine)
 		}
 	}
 	t.due()
@@ -268,9 +294,13 @@
 	case t.own[e.Ask.ID] != nil:
 		refuse(0, "container %s is known already", e.Ask.ID)
 	case c != nil && c.machine != "":
-		t.do(Stands{e.Caller, e.Ask.ID, c.machine})
+		t.do(Stands{e.Caller, e.Ask.ID, c.id, c.machine})
 	case c != nil && (c.open || c.late != nil):
 		refuse(holdOff, "key %s is being placed as %s", e.Ask.Key, c.id)
+	case t.doubtful(e.Ask):
+		d := t.doubts[e.Ask.Key]
+		refuse(holdOff, "key %s may run on machine %s, which has not told since %d ms", e.Ask.Key, d.machine,
+			(t.now-d.since)/placer.Millisecond)
 	case t.open >= t.bounds.Open:
 		refuse(fullHoldOff, "%d containers are open, no more are taken", t.open)
 	case n >= t.bounds.OpenPerCaller:
@@ -287,6 +317,21 @@
 	}
 }
 
+// doubtful tells whether an ask must wait for a machine's word: at-most-once work never goes out while a bid of its
+// key may run. A machine that is gone from the list, or that names all it holds, ends the doubt.
+func (t *Table) doubtful(a placer.Ask) bool {
+	_, ok := t.doubts[a.Key]
+	return ok && t.effects[a.Workload] == placer.AtMostOnce
+}
+
+func (t *Table) undoubt(m placer.MachineID) {
+	for key, d := range t.doubts {
+		if d.machine == m {
+			delete(t.doubts, key)
+		}
+	}
+}
+
 // isSure tells whether it is known what runs from earlier lives, as far as it can be.
 func (t *Table) isSure() bool {
 	if !t.sure && (t.now >= t.began+sureWithin || t.listed && len(t.asking) == 0) {
@@ -406,6 +451,7 @@
 // off, as nobody would hear their answer.
 func (t *Table) holds(e Holds) {
 	t.told(e.Machine)
+	t.undoubt(e.Machine)
 	delete(t.broken, e.Machine)
 	named := map[[2]uint64]bool{}
 	for _, h := range e.Held {
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -103,6 +103,17 @@
 		{"then it ends", []any{Asked{1, ask("a", 1)}, LateYes{held("a", 1, 5, 9, true)}, Ended{"a"}}, "adopt a"},
 		{"then it is placed elsewhere", []any{Asked{1, ask("a", 1)}, LateYes{held("a", 1, 5, 9, true)},
 			Placed{"a", "n", 10}}, "call off 5.9"},
+		// A machine that fell silent with an at-most-once bid may run it: an owner that asks again waits for its word.
+		{"in doubt", []any{4000 * ms, Asked{1, ask("a", 2)}, Unheard{held("a", 2, 5, 9, false)}, Ended{"a"},
+			Asked{1, again("b", "k-a", 2)}}, "refuse b"},
+		{"in doubt, the machine told", []any{4000 * ms, Asked{1, ask("a", 2)}, Unheard{held("a", 2, 5, 9, false)}, Ended{"a"}, told,
+			Asked{1, again("b", "k-a", 2)}}, "pass b"},
+		{"in doubt, the bid was told", []any{4000 * ms, Asked{1, ask("a", 2)}, Unheard{held("a", 2, 5, 9, false)}, Ended{"a"},
+			Told{held("a", 2, 5, 9, false)}, Asked{1, again("b", "k-a", 2)}}, "pass b"},
+		{"in doubt, the machine is gone", []any{4000 * ms, Asked{1, ask("a", 2)}, Unheard{held("a", 2, 5, 9, false)}, Ended{"a"},
+			Unnamed{"m"}, Asked{1, again("b", "k-a", 2)}}, "pass b"},
+		{"no doubt of reissuable work", []any{4000 * ms, Asked{1, ask("a", 0)}, Unheard{held("a", 0, 5, 9, false)}, Ended{"a"},
+			Asked{1, again("b", "k-a", 0)}}, "pass b"},
 		{"reset, then named by its machine", []any{Asked{1, ask("a", 2)}, Ended{"a"},
 			Holds{"m", []Held{held("a", 2, 5, 9, true)}}}, "adopt a"},
 
--- a/internal/host/door.go
+++ b/internal/host/door.go
@@ -117,6 +117,8 @@
 		h.submitted(o, f)
 	case *link.Cancel:
 		h.cancel(o, placer.ContainerID(f.Container))
+	case *link.AskWhy:
+		o.write(h.explain(f))
 	case *link.AskStatus:
 		o.write(h.status())
 	case *link.Message:
@@ -140,6 +142,26 @@
 	h.tell(custody.Asked{Caller: o.caller, Ask: ask})
 }
 
+// explain answers why work like this may wait, where the decisions can tell.
+func (h *Host) explain(f *link.AskWhy) *link.Why {
+	w := &link.Why{Seq: f.Seq, ListAge: -1}
+	if h.list.spokeAt > 0 {
+		w.ListAge = link.Span(h.loop.Now() - h.list.spokeAt)
+	}
+	d, ok := h.decider.(interface {
+		Explain(placer.Ask) placer.Explanation
+	})
+	if !ok {
+		return w
+	}
+	x := d.Explain(placer.Ask{Key: f.Work.Key, Service: f.Work.Service, Workload: f.Work.Workload, Customer: f.Work.Customer,
+		Cores: f.Work.Cores, Memory: f.Work.Memory})
+	return &link.Why{Seq: f.Seq, Known: true, Machines: x.Machines, Gone: x.Gone, OtherKind: x.OtherKind, Draining: x.Draining,
+		TooSmall: x.TooSmall, Closing: x.Closing, SpreadFull: x.SpreadFull, ColdSpent: x.ColdSpent, Resting: x.Resting,
+		Shunned: x.Shunned, NoCores: x.NoCores, NoMemory: x.NoMemory, Free: x.Free, Yielding: x.Yielding,
+		NoRoomShare: x.NoRoomShare, ListAge: w.ListAge}
+}
+
 // send reaches an owner by its number.
 func (h *Host) send(to custody.Caller, f link.Frame) {
 	if o := h.owners[to]; o != nil {
@@ -155,7 +177,7 @@
 // cancel ends a container that its owner no longer wants.
 func (h *Host) cancel(o *owner, id placer.ContainerID) {
 	c := h.open[id]
-	if c == nil || c.owner != o {
+	if c == nil || c.owner != nil && c.owner != o {
 		return
 	}
 	if b := c.bid; b != nil && b.placed {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -58,7 +58,8 @@
 type container struct {
 	ask      placer.Ask
 	window   link.Span
-	owner    *owner // nil where it was taken over
+	owner    *owner // nil where it was taken over and nobody asked again
+	heardAs  string // its id for that owner
 	answered bool
 	bids     int
 	bid      *bid // the one out, or the one by which it runs
@@ -210,6 +211,9 @@
 	case custody.Stands:
 		h.send(a.Caller, &link.Answer{Container: string(a.ID), Verdict: link.Placed, Machine: string(a.Machine),
 			Text: "it runs already"})
+		if c := h.open[a.As]; c != nil { // who asked last hears its fate
+			c.owner, c.heardAs = h.owners[a.Caller], string(a.ID)
+		}
 	case custody.CallOff:
 		if m := h.machines[a.Machine]; m != nil && m.ready {
 			m.write(&link.Withdraw{Life: a.Life, Bid: a.Bid})
@@ -235,7 +239,7 @@
 
 // take hands a container that the door lets in to the placer module.
 func (h *Host) take(a custody.Pass) {
-	h.open[a.Ask.ID] = &container{ask: a.Ask, owner: h.owners[a.Caller], came: h.asking[a.Ask.ID],
+	h.open[a.Ask.ID] = &container{ask: a.Ask, owner: h.owners[a.Caller], heardAs: string(a.Ask.ID), came: h.asking[a.Ask.ID],
 		window: link.Span(h.site.Terms.Workloads[a.Ask.Workload].Window)}
 	h.feed(placer.Asked{Ask: a.Ask})
 }
@@ -297,6 +301,7 @@
 	}
 	h.meter.outcome("timed out")
 	b.at.expectLate(b)
+	h.tell(custody.Unheard{Held: b.held()})
 	h.over(b, placer.Ended{Outcome: placer.TimedOut})
 }
 
@@ -330,7 +335,7 @@
 	if b.placed {
 		h.meter.running--
 		if c.owner != nil {
-			c.owner.write(&link.Fate{Container: string(c.ask.ID), Machine: string(m.id),
+			c.owner.write(&link.Fate{Container: c.heardAs, Machine: string(m.id),
 				Outcome: wireOutcome(e.Outcome), Reason: link.Reason(e.Reason)})
 		}
 	}
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -23,7 +23,8 @@
 	reader  link.Reader
 	version int64
 	heardAt loop.Tick
-	asked   bool // an answer is due, or changes are: a break is a failed call
+	spokeAt loop.Tick // when a frame of it last came
+	asked   bool      // an answer is due, or changes are: a break is a failed call
 }
 
 // watch sends a question to the list, over a new link where there is none.
@@ -54,6 +55,7 @@
 
 func (l *listLink) Read(c *loop.Conn, p []byte) {
 	l.heardAt = l.h.loop.Now()
+	l.spokeAt = l.heardAt
 	if err := l.reader.Feed(p, l.take); err != nil && c == l.conn {
 		l.h.badLink("list", err)
 		c.Reset()
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -107,6 +107,7 @@
 	for _, b := range ordered(m.bids) {
 		if !b.placed {
 			m.h.meter.outcome("reset")
+			m.h.tell(custody.Unheard{Held: b.held()})
 			m.h.over(b, placer.Ended{Outcome: placer.Reset})
 		}
 	}
@@ -255,9 +256,12 @@
 }
 
 func (m *machine) result(f *link.Result) {
-	delete(m.late, f.Bid)
 	b := m.bids[f.Bid]
 	if b == nil {
+		if ask, ok := m.late[f.Bid]; ok {
+			delete(m.late, f.Bid)
+			m.h.tell(custody.Told{Held: custody.Held{Ask: ask, Machine: m.id, Life: m.h.life, Bid: f.Bid}})
+		}
 		return
 	}
 	o := outcomeOf(f)
--- a/internal/link/frames.go
+++ b/internal/link/frames.go
@@ -296,6 +296,36 @@
 		Unit  string
 	}
 
+	// AskWhy asks a placer what keeps work like this from machines; a Why of the same number answers.
+	AskWhy struct {
+		_    struct{} `cbor:",toarray"`
+		Seq  uint64
+		Work Work
+	}
+
+	// Why counts machines by what leaves them out.
+	Why struct {
+		_           struct{} `cbor:",toarray"`
+		Seq         uint64
+		Known       bool // false where the placer cannot tell
+		Machines    int
+		Gone        int
+		OtherKind   int
+		Draining    int
+		TooSmall    int
+		Closing     int
+		SpreadFull  int
+		ColdSpent   int
+		Resting     int
+		Shunned     int
+		NoCores     int
+		NoMemory    int
+		Free        int
+		Yielding    bool
+		NoRoomShare float64
+		ListAge     Span // since the list was last heard; below 0: never
+	}
+
 	// Bye tells why a link is about to be closed.
 	Bye struct {
 		_    struct{} `cbor:",toarray"`
@@ -316,6 +346,7 @@
 	17: func() Frame { return new(Answer) }, 18: func() Frame { return new(Fate) },
 	19: func() Frame { return new(Message) }, 20: func() Frame { return new(AskStatus) },
 	21: func() Frame { return new(Status) }, 22: func() Frame { return new(Bye) },
+	23: func() Frame { return new(AskWhy) }, 24: func() Frame { return new(Why) },
 }
 
 func (*Hello) sort() byte     { return 1 }
@@ -340,6 +371,8 @@
 func (*AskStatus) sort() byte { return 20 }
 func (*Status) sort() byte    { return 21 }
 func (*Bye) sort() byte       { return 22 }
+func (*AskWhy) sort() byte    { return 23 }
+func (*Why) sort() byte       { return 24 }
 
 // longest of any name on the wire, in bytes, and the furthest span: a year.
 const (
@@ -500,6 +533,22 @@
 	return c.fault
 }
 
+func (f *AskWhy) check() error {
+	var c checker
+	f.Work.examine(&c)
+	return c.fault
+}
+
+func (f *Why) check() error {
+	var c checker
+	c.number("share", f.NoRoomShare)
+	for _, n := range []int{f.Machines, f.Gone, f.OtherKind, f.Draining, f.TooSmall, f.Closing, f.SpreadFull, f.ColdSpent,
+		f.Resting, f.Shunned, f.NoCores, f.NoMemory, f.Free} {
+		c.count("count", n)
+	}
+	return c.fault
+}
+
 func (f *Cancel) check() error {
 	var c checker
 	c.name("container", f.Container)
