--- /dev/null
+++ b/internal/waiting/waiting.go
@@ -0,0 +1,189 @@
+// Package waiting answers why a container is not running now: from what the keeper, a placer and the list know,
+// all reasons that hold, the most telling first. It is pure and keeps nothing.
+package waiting
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+
+	"glenport/internal/keeper"
+	"glenport/placer"
+)
+
+// Code names a reason; codes do not change.
+type Code string
+
+const (
+	NoPlacer     Code = "no_placer"     // no placer can be reached
+	PlacerAway   Code = "placer_away"   // the one that must answer
+	Guard        Code = "guard"         // it may run; a second copy must not
+	Unsure       Code = "unsure"        // a placer does not know yet, or its machine has not told
+	NoMachine    Code = "no_machine"    // none of the needed kind and size is in service
+	HallInMaint  Code = "hall_drains"   // a whole hall drains
+	NoRoom       Code = "no_room"       // every machine that may take it is full
+	SpreadFull   Code = "spread_full"   // where it may run there are as many of its service as allowed
+	ColdBudget   Code = "cold_budget"   // machines that came up may not take more yet
+	Sick         Code = "machines_sick" // machines are left out by their health
+	Yielding     Code = "low_gain"      // the fleet is over-asked, and it gains little
+	BackingOff   Code = "backing_off"   // the next try is at a known time
+	ListAway     Code = "list_away"     // the list of machines has not been heard for long
+	BeingPlaced  Code = "being_placed"  // a placer is at it
+	TurnedAway   Code = "turned_away"   // a placer's door is at its bounds
+	Unwatched    Code = "unwatched"     // it ran when its placer was lost
+	NothingKnown Code = "unknown"       // no placer has answered yet
+)
+
+// Reason is one, in words and figures; Until is 0 where its end is not known.
+type Reason struct {
+	Code    Code               `json:"code"`
+	Text    string             `json:"text"`
+	Figures map[string]float64 `json:"figures,omitempty"`
+	Until   placer.Time        `json:"-"`
+}
+
+// Hall is what the list says of a hall.
+type Hall struct {
+	Name              string
+	Machines, Drained int
+}
+
+// Facts are what is known of a container, as of now.
+type Facts struct {
+	Container   keeper.Container
+	DoorsOpen   int
+	Doors       int
+	DoorOpen    bool // that of the placer asked last
+	Asked       bool // a placer has explained; the next two are then its words
+	Explanation placer.Explanation
+	ListAge     placer.Time // as that placer has it; below 0: it never heard the list
+	Halls       []Hall
+	ColdWindow  placer.Time
+}
+
+const listIsAway = 4 * placer.Second // a list that lives beats each second
+
+// Explain returns the reasons in order of rank. A container that runs, or is done, has none.
+func Explain(now placer.Time, f Facts) []Reason {
+	c := &f.Container
+	if c.State == keeper.Running || c.State == keeper.Done {
+		return nil
+	}
+	var all []Reason
+	add := func(code Code, until placer.Time, figures map[string]float64, format string, a ...any) {
+		all = append(all, Reason{code, fmt.Sprintf(format, a...), figures, until})
+	}
+	left := max(0, c.Until-now)
+	switch {
+	case f.DoorsOpen == 0:
+		add(NoPlacer, 0, map[string]float64{"placers": float64(f.Doors)}, "None of the %d placers can be reached.", f.Doors)
+	case (c.Pinned || c.State == keeper.Unwatched || c.State == keeper.Guarded) && !f.DoorOpen:
+		add(PlacerAway, 0, nil, "The placer that knows whether it runs cannot be reached.")
+	}
+	switch c.State {
+	case keeper.Guarded:
+		add(Guard, c.Until, seconds("seconds", left), "It may have been started (%s). A second copy must not run, so nothing is done for another %.1f s.",
+			c.Last, secs(left))
+	case keeper.Unwatched:
+		add(Unwatched, c.Until, nil, "It ran when its placer was lost; whether it still does is not known.")
+	case keeper.Asking:
+		add(BeingPlaced, 0, seconds("seconds", now-c.Since), "A placer has been at it for %.1f s.", secs(now-c.Since))
+	case keeper.Waiting:
+		switch {
+		case c.Held && strings.Contains(c.Last, "may run on machine") || c.Held && strings.Contains(c.Last, "does not know yet"):
+			add(Unsure, c.Until, nil, "A placer cannot tell yet whether it runs (%s).", c.Last)
+		case c.Held:
+			add(TurnedAway, c.Until, nil, "A placer takes no more (%s).", c.Last)
+		}
+		if c.Until > 0 && c.Tries > 0 {
+			add(BackingOff, c.Until, map[string]float64{"seconds": secs(left), "tries": float64(c.Tries)},
+				"It was %s; after %d tries the next is in %.1f s.", c.Last, c.Tries, secs(left))
+		}
+	}
+	if !f.Asked {
+		if len(all) == 0 {
+			add(NothingKnown, 0, nil, "It has just been asked for, and no placer has answered yet.")
+		}
+		return rank(all)
+	}
+	all = append(all, f.fleet()...)
+	return rank(all)
+}
+
+// fleet holds the reasons that lie with the machines: what keeps a container from each of them.
+func (f *Facts) fleet() (all []Reason) {
+	x := &f.Explanation
+	add := func(code Code, figures map[string]float64, format string, a ...any) {
+		all = append(all, Reason{code, fmt.Sprintf(format, a...), figures, 0})
+	}
+	if f.ListAge < 0 || f.ListAge > listIsAway {
+		add(ListAway, seconds("seconds", max(0, f.ListAge)), "The list of machines has not been heard for %.0f s; what is known may be old.",
+			secs(max(0, f.ListAge)))
+	}
+	for _, h := range f.Halls {
+		if h.Machines > 0 && h.Drained == h.Machines {
+			add(HallInMaint, map[string]float64{"machines": float64(h.Machines)}, "Hall %s is under maintenance: all of its %d machines drain.",
+				h.Name, h.Machines)
+		}
+	}
+	if x.Free > 0 {
+		if x.Yielding {
+			add(Yielding, map[string]float64{"share_without_room": x.NoRoomShare},
+				"%.0f%% of recent bids found no room, and other work gains more.", 100*x.NoRoomShare)
+		}
+		return all
+	}
+	fit := x.Machines - x.OtherKind - x.TooSmall
+	in := fit - x.Draining
+	switch {
+	case fit == 0:
+		add(NoMachine, count("machines", x.Machines), "None of the %d machines is of the kind and size it needs.", x.Machines)
+	case in == 0:
+		add(NoMachine, map[string]float64{"machines": float64(fit), "draining": float64(x.Draining)},
+			"All %d machines that could run it drain.", fit)
+	}
+	if n := x.NoCores + x.NoMemory; n > 0 {
+		short := "cores"
+		if x.NoMemory > x.NoCores {
+			short = "memory"
+		}
+		add(NoRoom, map[string]float64{"machines": float64(in), "full": float64(n), "short_of_cores": float64(x.NoCores),
+			"short_of_memory": float64(x.NoMemory)}, "%d of %d machines have no room: %s is short (%d lack cores, %d memory).", n, in,
+			short, x.NoCores, x.NoMemory)
+	}
+	if x.SpreadFull > 0 {
+		add(SpreadFull, map[string]float64{"machines": float64(x.SpreadFull), "of": float64(in)},
+			"On %d of %d machines its service has as many containers as its spread allows.", x.SpreadFull, in)
+	}
+	if x.ColdSpent > 0 {
+		add(ColdBudget, map[string]float64{"machines": float64(x.ColdSpent), "window_seconds": secs(f.ColdWindow)},
+			"%d machines have just come up and may not take more yet; their budget is renewed every %.1f s.", x.ColdSpent, secs(f.ColdWindow))
+	}
+	if n := x.Resting + x.Shunned + x.Closing; n > 0 {
+		add(Sick, map[string]float64{"resting": float64(x.Resting), "shun_it": float64(x.Shunned), "closing": float64(x.Closing)},
+			"%d machines are left out: %d look sick, %d leave this work unanswered, %d send work away.", n, x.Resting, x.Shunned, x.Closing)
+	}
+	if x.Yielding {
+		add(Yielding, map[string]float64{"share_without_room": x.NoRoomShare}, "%.0f%% of recent bids found no room, and other work gains more.",
+			100*x.NoRoomShare)
+	}
+	return all
+}
+
+var order = []Code{NoPlacer, PlacerAway, Guard, Unsure, Unwatched, NoMachine, HallInMaint, NoRoom, SpreadFull, ColdBudget, Sick,
+	Yielding, ListAway, TurnedAway, BackingOff, BeingPlaced, NothingKnown}
+
+func rank(all []Reason) []Reason {
+	place := map[Code]int{}
+	for i, c := range order {
+		place[c] = i
+	}
+	sort.SliceStable(all, func(i, j int) bool { return place[all[i].Code] < place[all[j].Code] })
+	return all
+}
+
+func secs(t placer.Time) float64 { return float64(t) / float64(placer.Second) }
+
+func seconds(name string, t placer.Time) map[string]float64 { return map[string]float64{name: secs(t)} }
+
+func count(name string, n int) map[string]float64 { return map[string]float64{name: float64(n)} }
