Keeper: what may run behind a lost door is not forgotten when it is scaled away

A container asked for again at a lost door and then scaled away was forgotten, and one in its place could be a second copy; and a cancellation by the newest ask's id missed what ran under an earlier one.

Change: such a container stays until its placer's door opens; Cancel carries the key.

--- a/internal/host/door.go
+++ b/internal/host/door.go
@@ -116,7 +116,7 @@
 	case *link.Submit:
 		h.submitted(o, f)
 	case *link.Cancel:
-		h.cancel(o, placer.ContainerID(f.Container))
+		h.cancel(o, f)
 	case *link.AskWhy:
 		o.write(h.explain(f))
 	case *link.AskStatus:
@@ -175,8 +175,17 @@
 }
 
 // cancel ends a container that its owner no longer wants.
-func (h *Host) cancel(o *owner, id placer.ContainerID) {
+func (h *Host) cancel(o *owner, f *link.Cancel) {
+	id := placer.ContainerID(f.Container)
 	c := h.open[id]
+	if c == nil && f.Key != "" {
+		for other, x := range h.open { // rare: it was asked for under another id
+			if x.ask.Key == f.Key {
+				id, c = other, x
+				break
+			}
+		}
+	}
 	if c == nil || c.owner != nil && c.owner != o {
 		return
 	}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -140,9 +140,11 @@
 		Left  placer.Time
 		Again bool
 	}
+	// Cancel ends an ask, or what runs under its key by an earlier one.
 	Cancel struct {
 		Door int
 		Ask  string
+		Key  string
 	}
 	// Changed is the new view of a container, Removed its end.
 	Changed struct{ Container Container }
@@ -332,10 +334,11 @@
 	k.mark(s)
 	switch s.State {
 	case Asking, Running:
-		k.do(Cancel{s.Door, s.ask})
+		k.do(Cancel{s.Door, s.ask, s.key})
 	case Waiting:
 		if s.Pinned {
-			k.do(Cancel{s.Door, s.ask})
+			k.callOff(s)
+			return
 		}
 		k.remove(s)
 	case Done:
@@ -344,6 +347,17 @@
 	}
 }
 
+// callOff ends one that may run, by the placer that knows; while its door is lost it stays, or a later one in its
+// place could be a second copy.
+func (k *Keeper) callOff(s *slot) {
+	if !k.open[s.Door] {
+		k.turn(s, Unwatched, -1, s.Last)
+		return
+	}
+	k.do(Cancel{s.Door, s.ask, s.key})
+	k.remove(s)
+}
+
 func (k *Keeper) remove(s *slot) {
 	s.gone = true
 	k.forgetAsk(s)
@@ -410,8 +424,7 @@
 		k.askFor(s)
 	case Guarded:
 		if s.Leaving {
-			k.do(Cancel{s.Door, s.ask}) // should it have turned up
-			k.remove(s)
+			k.callOff(s)
 			return
 		}
 		s.Pinned, s.again = true, true
@@ -473,7 +486,7 @@
 		s.Starts++
 		k.turn(s, Running, -1, "runs")
 		if s.Leaving {
-			k.do(Cancel{s.Door, s.ask})
+			k.do(Cancel{s.Door, s.ask, s.key})
 		}
 		k.replace(s.job)
 		return
@@ -484,6 +497,10 @@
 		}
 	}
 	if s.Leaving {
+		if e.Verdict == TurnedAway && s.Pinned { // that says nothing of what may run
+			k.callOff(s)
+			return
+		}
 		k.remove(s)
 		return
 	}
@@ -554,11 +571,9 @@
 		mine := s.Door == e.Number
 		switch {
 		case !e.Open && mine && s.State == Asking:
-			if s.Leaving {
-				if k.effect(s) == placer.Reissuable {
-					k.remove(s)
-					continue
-				}
+			if s.Leaving && k.effect(s) == placer.Reissuable {
+				k.remove(s)
+				continue
 			}
 			if k.effect(s) == placer.Reissuable {
 				k.forgetAsk(s)
@@ -570,14 +585,12 @@
 			k.turn(s, Unwatched, orphanAfter, "its placer was lost")
 		case e.Open && mine && s.State == Unwatched:
 			if s.Leaving {
-				k.do(Cancel{s.Door, s.ask})
+				k.callOff(s)
+				continue
 			}
 			k.forgetAsk(s)
 			s.Pinned, s.again = true, true
 			k.wait(s, lookAgain+placer.Time(k.chance()*float64(2*lookAgain)), "its placer is back")
-			if s.Leaving {
-				k.remove(s)
-			}
 		case e.Open && s.State == Waiting && s.Until == 0:
 			k.wait(s, placer.Time(k.chance()*float64(4*soon)), s.Last)
 		}
@@ -618,6 +631,6 @@
 	}
 	if next != nil {
 		next.replaced = true
-		k.do(Cancel{next.Door, next.ask})
+		k.do(Cancel{next.Door, next.ask, next.key})
 	}
 }
--- a/internal/link/frames.go
+++ b/internal/link/frames.go
@@ -249,9 +249,11 @@
 		Work Work
 	}
 
+	// Cancel ends a container, by its id or, where that is not known, by the key it runs under.
 	Cancel struct {
 		_         struct{} `cbor:",toarray"`
 		Container string
+		Key       string // may be empty
 	}
 
 	Answer struct {
