Jobs over a REST API: keeper's host, catalog with watches, commands

Need: clients are to submit long-running work, follow it and read why it waits.

Change: internal/jobs hosts the keeper on the event loop; internal/catalog holds versioned objects, copy on write, with watches that drop who falls behind; internal/api serves them over net/http by openapi.yaml, with problems that name field and cause, preconditions, pages, selectors and idempotency keys; glenport keeper, job, why, machines.

--- /dev/null
+++ b/cmd/glenport/keeper.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"syscall"
+	"time"
+
+	"glenport/internal/api"
+	"glenport/internal/catalog"
+	"glenport/internal/jobs"
+	"glenport/internal/site"
+
+	"github.com/spf13/cobra"
+)
+
+func keeperCommand() *cobra.Command {
+	var file, form string
+	c := &cobra.Command{Use: "keeper", Short: "Keep jobs running and serve the API", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			log, err := logger(form)
+			if err != nil {
+				return err
+			}
+			k, err := site.LoadKeeper(file)
+			if err != nil {
+				return err
+			}
+			h, err := jobs.New(jobs.Place{Name: k.Name, Doors: k.Doors, List: k.List, Seed: k.Seed, Site: k.Terms},
+				catalog.New(api.Line), log)
+			if err != nil {
+				return err
+			}
+			server := api.Serve(k.API, api.New(h))
+			told := make(chan os.Signal, 1)
+			signal.Notify(told, syscall.SIGINT, syscall.SIGTERM)
+			failed := make(chan error, 1)
+			go func() {
+				if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+					failed <- err
+					h.Stop()
+				}
+			}()
+			go func() {
+				<-told
+				ctx, done := context.WithTimeout(context.Background(), 2*time.Second)
+				defer done()
+				server.Shutdown(ctx)
+				server.Close()
+				h.Stop()
+			}()
+			log.Info("keeper up", "name", k.Name, "api", k.API, "placers", len(k.Doors))
+			runtime.LockOSThread()
+			if err := h.Run(); err != nil {
+				return err
+			}
+			select {
+			case err := <-failed:
+				return err
+			default:
+				return nil
+			}
+		}}
+	c.Flags().StringVarP(&file, "config", "c", "", "the keeper's file")
+	c.Flags().StringVar(&form, "log", "text", "form of the log: text or json")
+	c.MarkFlagRequired("config")
+	return c
+}
--- a/cmd/glenport/main.go
+++ b/cmd/glenport/main.go
@@ -20,7 +20,8 @@
 func main() {
 	root := &cobra.Command{Use: "glenport", Short: "Place long-running work on the machines of a cluster",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(placerCommand(), checkCommand(), submitCommand(), statusCommand())
+	root.AddCommand(placerCommand(), keeperCommand(), checkCommand(), submitCommand(), statusCommand(), jobCommand(), whyCommand(),
+		machinesCommand())
 	if err := root.Execute(); err != nil {
 		var code exitCode
 		if errors.As(err, &code) {
--- /dev/null
+++ b/internal/catalog/catalog.go
@@ -0,0 +1,183 @@
+// Package catalog holds objects by kind and id with versions, and tells watchers what changes. Any goroutine may
+// use it. Readers work on a copy that shares what has not changed, so a long list holds nobody up; a watcher that
+// does not keep up is dropped, never waited for.
+package catalog
+
+import (
+	"errors"
+	"sync"
+
+	"github.com/tidwall/btree"
+)
+
+// ErrGone says that changes from a version on are no longer kept: list again.
+var ErrGone = errors.New("changes from that version on are no longer kept: list again")
+
+const (
+	kept    = 20_000 // changes
+	mayWait = 2_000  // changes for one watcher
+)
+
+// Object is one version of a thing. It is not changed any more.
+type Object struct {
+	Kind    string
+	ID      string
+	Version int64
+	Value   any
+	Gone    bool
+	line    []byte
+}
+
+// Line is the object as a watcher is sent it, made once by the function of the catalog.
+func (o *Object) Line() []byte { return o.line }
+
+// Catalog is a set of objects.
+type Catalog struct {
+	line func(*Object) []byte
+
+	mu       sync.RWMutex
+	version  int64
+	kinds    map[string]*btree.Map[string, *Object]
+	log      []*Object // the last changes, in a ring
+	next     int
+	watchers map[*Watcher]bool
+}
+
+// New makes a catalog whose watchers are sent what line makes of a change.
+func New(line func(*Object) []byte) *Catalog {
+	return &Catalog{line: line, kinds: map[string]*btree.Map[string, *Object]{}, watchers: map[*Watcher]bool{}}
+}
+
+// Version is that of the last change.
+func (c *Catalog) Version() int64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.version
+}
+
+// Put makes or changes an object and returns its new version.
+func (c *Catalog) Put(kind, id string, value any) int64 { return c.change(kind, id, value, false) }
+
+// Delete takes an object out; false where there was none.
+func (c *Catalog) Delete(kind, id string) bool {
+	o := c.Get(kind, id)
+	return o != nil && c.change(kind, id, o.Value, true) > 0
+}
+
+func (c *Catalog) change(kind, id string, value any, gone bool) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version++
+	o := &Object{Kind: kind, ID: id, Version: c.version, Value: value, Gone: gone}
+	o.line = c.line(o)
+	t := c.kinds[kind]
+	if t == nil {
+		t = &btree.Map[string, *Object]{}
+		c.kinds[kind] = t
+	}
+	if gone {
+		t.Delete(id)
+	} else {
+		t.Set(id, o)
+	}
+	if len(c.log) < kept {
+		c.log = append(c.log, o)
+	} else {
+		c.log[c.next] = o
+	}
+	c.next = (c.next + 1) % kept
+	for w := range c.watchers {
+		w.offer(o)
+	}
+	return c.version
+}
+
+// Get finds an object, or nil.
+func (c *Catalog) Get(kind, id string) *Object {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if t := c.kinds[kind]; t != nil {
+		o, _ := t.Get(id)
+		return o
+	}
+	return nil
+}
+
+// List returns up to limit objects of a kind, by id, after one, that match; more tells whether there are others.
+// The version is that as of which the list holds.
+func (c *Catalog) List(kind, after string, limit int, match func(*Object) bool) (all []*Object, version int64, more bool) {
+	c.mu.Lock() // a copy marks the tree as shared
+	version = c.version
+	t := c.kinds[kind]
+	if t != nil {
+		t = t.Copy()
+	}
+	c.mu.Unlock()
+	if t == nil {
+		return nil, version, false
+	}
+	t.Ascend(after, func(id string, o *Object) bool {
+		if id == after && after != "" || !match(o) {
+			return true
+		}
+		if len(all) == limit {
+			more = true
+			return false
+		}
+		all = append(all, o)
+		return true
+	})
+	return all, version, more
+}
+
+// Watcher gets changes in order.
+type Watcher struct {
+	c       *Catalog
+	kinds   map[string]bool
+	Changes chan *Object // closed when the watcher fell behind
+	from    int64
+}
+
+// Sent is a version whose changes the watcher surely had: that from which it began.
+func (w *Watcher) Sent() int64 { return w.from }
+
+// Watch tells all changes of the kinds after a version, and from then on what comes.
+func (c *Catalog) Watch(from int64, kinds ...string) (*Watcher, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if from > c.version {
+		return nil, ErrGone // of an earlier life
+	}
+	missed := c.version - from
+	if missed > int64(len(c.log)) {
+		return nil, ErrGone
+	}
+	w := &Watcher{c: c, kinds: map[string]bool{}, Changes: make(chan *Object, mayWait+int(missed)), from: from}
+	for _, k := range kinds {
+		w.kinds[k] = true
+	}
+	for i := range int(missed) {
+		w.offer(c.log[((c.next-int(missed)+i)%kept+kept)%kept])
+	}
+	c.watchers[w] = true
+	return w, nil
+}
+
+func (w *Watcher) offer(o *Object) {
+	if !w.kinds[o.Kind] {
+		return
+	}
+	select {
+	case w.Changes <- o:
+	default:
+		delete(w.c.watchers, w)
+		close(w.Changes)
+	}
+}
+
+// Close ends the watch.
+func (w *Watcher) Close() {
+	w.c.mu.Lock()
+	delete(w.c.watchers, w)
+	w.c.mu.Unlock()
+}
--- /dev/null
+++ b/internal/catalog/catalog_test.go
@@ -0,0 +1,80 @@
+package catalog
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+)
+
+func fill(c *Catalog, n int) {
+	for i := range n {
+		c.Put("jobs", fmt.Sprintf("j%06d", i), i)
+	}
+}
+
+func TestListAndWatch(t *testing.T) {
+	c := New(func(o *Object) []byte { return []byte(o.ID) })
+	fill(c, 10)
+	all, version, more := c.List("jobs", "j000002", 3, func(o *Object) bool { return o.Value.(int)%2 == 1 })
+	if len(all) != 3 || all[0].ID != "j000003" || !more || version != 10 {
+		t.Errorf("%d, %d, %t", len(all), version, more)
+	}
+	w, err := c.Watch(8, "jobs")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Put("machines", "m", 1)
+	c.Delete("jobs", "j000000")
+	if c.Delete("jobs", "j000000") {
+		t.Error("taken out twice")
+	}
+	for _, want := range []string{"j000008", "j000009", "j000000"} {
+		if o := <-w.Changes; o.ID != want {
+			t.Errorf("%s, want %s", o.ID, want)
+		}
+	}
+	w.Close()
+}
+
+// Versions that are too old, or of another life, are told apart from an empty watch.
+func TestGone(t *testing.T) {
+	c := New(func(*Object) []byte { return nil })
+	fill(c, kept+100)
+	for _, tc := range []struct {
+		from int64
+		want error
+	}{{99, ErrGone}, {100, nil}, {kept + 100, nil}, {kept + 101, ErrGone}} {
+		w, err := c.Watch(tc.from, "jobs")
+		if !errors.Is(err, tc.want) {
+			t.Errorf("from %d: %v", tc.from, err)
+		}
+		if err != nil {
+			continue
+		}
+		for v := tc.from + 1; v <= kept+100; v++ {
+			if o := <-w.Changes; o.Version != v {
+				t.Fatalf("from %d: %d, want %d", tc.from, o.Version, v)
+			}
+		}
+	}
+}
+
+// A watcher that stalls is dropped; the others miss nothing.
+func TestStalledWatcher(t *testing.T) {
+	c := New(func(*Object) []byte { return nil })
+	stalled, _ := c.Watch(0, "jobs")
+	live, _ := c.Watch(0, "jobs")
+	for i := range mayWait + 10 {
+		c.Put("jobs", "j", i)
+		if o := <-live.Changes; o.Value.(int) != i {
+			t.Fatalf("%v, want %d", o.Value, i)
+		}
+	}
+	n := 0
+	for range stalled.Changes {
+		n++
+	}
+	if n != mayWait || len(c.watchers) != 1 {
+		t.Errorf("%d before it was dropped, %d watchers left", n, len(c.watchers))
+	}
+}
--- /dev/null
+++ b/internal/jobs/jobs.go
@@ -0,0 +1,471 @@
+// Package jobs hosts the keeper: it carries jobs to placers and their words back, keeps what the API shows in a
+// catalog, and gathers the facts for why something waits. Everything but the exported methods runs on its loop.
+package jobs
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"strings"
+	"time"
+
+	"glenport/internal/catalog"
+	"glenport/internal/keeper"
+	"glenport/internal/link"
+	"glenport/internal/loop"
+	"glenport/internal/site"
+	"glenport/internal/waiting"
+	"glenport/placer"
+)
+
+// Kinds of what the catalog holds.
+const (
+	Jobs       = "jobs"
+	Containers = "containers"
+	Machines   = "machines"
+)
+
+const (
+	redial    = 200 * loop.Millisecond
+	output    = 8 << 20
+	whyWithin = 400 * loop.Millisecond // for a placer to explain
+	whyStands = 100 * loop.Millisecond // an explanation serves all who ask so soon again
+	relist    = 500 * loop.Millisecond
+)
+
+// Place is where a keeper finds what it works with.
+type Place struct {
+	Name  string
+	Doors []string
+	List  string
+	Seed  uint64
+	Site  *site.Placer // workloads, customers, kinds
+}
+
+// Job is what an owner wants.
+type Job struct {
+	ID        string            `json:"id"`
+	Labels    map[string]string `json:"labels,omitempty"`
+	Service   string            `json:"service"`
+	Workload  string            `json:"workload"`
+	Customer  string            `json:"customer,omitempty"`
+	Cores     float64           `json:"cores"`
+	MemoryGiB float64           `json:"memory_gib"`
+	RunForMS  int64             `json:"run_for_ms,omitempty"`
+	Once      bool              `json:"once,omitempty"`
+	Count     int               `json:"count"`
+	Version   int64             `json:"version"`
+}
+
+// Container is one that a job wants.
+type Container struct {
+	ID      string `json:"id"`
+	Job     string `json:"job"`
+	Index   int    `json:"index"`
+	State   string `json:"state"`
+	Leaving bool   `json:"leaving,omitempty"`
+	Machine string `json:"machine,omitempty"`
+	Placer  string `json:"placer,omitempty"`
+	SinceMS int64  `json:"since_ms"`           // unix time
+	UntilMS int64  `json:"until_ms,omitempty"` // when something is due
+	Tries   int    `json:"tries"`
+	Starts  int    `json:"starts"`
+	Last    string `json:"last"`
+	Version int64  `json:"version"`
+}
+
+// Machine is one of the list.
+type Machine struct {
+	ID            string  `json:"id"`
+	Hall          int     `json:"hall"`
+	Kind          string  `json:"kind"`
+	State         string  `json:"state"`
+	FreeCores     float64 `json:"free_cores"`
+	FreeMemoryGiB float64 `json:"free_memory_gib"`
+	Incarnation   uint64  `json:"incarnation"`
+	Version       int64   `json:"version"`
+}
+
+// Host is a running keeper.
+type Host struct {
+	Catalog *catalog.Catalog
+	place   Place
+	log     *slog.Logger
+	loop    *loop.Loop
+	keeper  *keeper.Keeper
+	events  []keeper.Event
+	doors   []*door
+	list    *listing
+	views   map[string]keeper.Container // by container id
+	halls   map[string]link.Entry       // by machine
+	asked   map[uint64]*question        // emptied by the answer or its time
+	last    map[string]*explained       // by job, for a moment
+	seq     uint64
+}
+
+type explained struct {
+	at  loop.Tick
+	why *link.Why
+}
+
+type question struct {
+	job  string
+	then []func(*link.Why)
+}
+
+// New makes a keeper's host; Run serves it.
+func New(p Place, c *catalog.Catalog, log *slog.Logger) (*Host, error) {
+	t := keeper.Terms{Seed: p.Seed, Doors: len(p.Doors)}
+	for _, w := range p.Site.Terms.Workloads {
+		t.Workloads = append(t.Workloads, keeper.Workload{Effect: w.Effect, HardStop: w.HardStop, Window: w.Window})
+	}
+	h := &Host{Catalog: c, place: p, log: log, keeper: keeper.New(t), views: map[string]keeper.Container{},
+		halls: map[string]link.Entry{}, asked: map[uint64]*question{}, last: map[string]*explained{}}
+	var err error
+	if h.loop, err = loop.New(h.turn); err != nil {
+		return nil, err
+	}
+	for i, addr := range p.Doors {
+		h.doors = append(h.doors, &door{h: h, number: i, addr: addr})
+	}
+	h.list = &listing{h: h}
+	return h, nil
+}
+
+// Run serves until Stop.
+func (h *Host) Run() error {
+	h.loop.Post(func() {
+		for _, d := range h.doors {
+			d.call()
+		}
+		if h.place.List != "" {
+			h.list.call()
+		}
+	})
+	return h.loop.Run()
+}
+
+func (h *Host) Stop() { h.loop.Stop() }
+
+// ask runs f on the loop and waits for it; false once the host has stopped.
+func (h *Host) ask(f func()) bool {
+	done := make(chan struct{})
+	if !h.loop.Post(func() { defer close(done); f() }) {
+		return false
+	}
+	select {
+	case <-done:
+		return true
+	case <-time.After(10 * time.Second):
+		return false
+	}
+}
+
+// ErrStopped says that the keeper is not there to be asked.
+var ErrStopped = errors.New("the keeper has stopped")
+
+// Set makes or changes a job and returns its version. With precondition above 0 the job must have that version.
+func (h *Host) Set(j Job, precondition int64) (version int64, err error) {
+	spec, err := h.spec(&j)
+	if err != nil {
+		return 0, err
+	}
+	if !h.ask(func() {
+		old := h.Catalog.Get(Jobs, j.ID)
+		switch {
+		case precondition < 0 && old != nil:
+			err = &Conflict{j.ID, old.Version, "it exists already"}
+		case precondition > 0 && old == nil:
+			err = ErrUnknown
+		case precondition > 0 && old.Version != precondition:
+			err = &Conflict{j.ID, old.Version, "it was changed meanwhile"}
+		default:
+			version = h.Catalog.Put(Jobs, j.ID, j)
+			h.events = append(h.events, keeper.Set{Job: j.ID, Count: j.Count, Spec: spec})
+		}
+	}) {
+		return 0, ErrStopped
+	}
+	return version, err
+}
+
+// Drop ends a job.
+func (h *Host) Drop(id string, precondition int64) (err error) {
+	if !h.ask(func() {
+		switch old := h.Catalog.Get(Jobs, id); {
+		case old == nil:
+			err = ErrUnknown
+		case precondition > 0 && old.Version != precondition:
+			err = &Conflict{id, old.Version, "it was changed meanwhile"}
+		default:
+			h.Catalog.Delete(Jobs, id)
+			h.events = append(h.events, keeper.Drop{Job: id})
+		}
+	}) {
+		return ErrStopped
+	}
+	return err
+}
+
+// ErrUnknown is for what does not exist.
+var ErrUnknown = errors.New("there is none of that id")
+
+// Conflict is for a change that came too late.
+type Conflict struct {
+	ID      string
+	Version int64
+	Text    string
+}
+
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("%s: %s; its version is %d", c.ID, c.Text, c.Version)
+}
+
+// Invalid is a field that cannot be.
+type Invalid struct{ Field, Text string }
+
+func (e *Invalid) Error() string { return e.Field + ": " + e.Text }
+
+func (h *Host) spec(j *Job) (keeper.Spec, error) {
+	s := keeper.Spec{Service: j.Service, Cores: j.Cores, Memory: j.MemoryGiB, RunFor: placer.Time(j.RunForMS) * placer.Millisecond,
+		Once: j.Once}
+	bad := func(field, format string, a ...any) (keeper.Spec, error) {
+		return s, &Invalid{field, fmt.Sprintf(format, a...)}
+	}
+	if !goodID(j.ID) {
+		return bad("id", "%q is not 1 to 63 of a to z, 0 to 9 and -", j.ID)
+	}
+	if j.Service == "" || len(j.Service) > 100 {
+		return bad("service", "1 to 100 bytes are wanted")
+	}
+	if s.Workload = indexOf(h.place.Site.Workloads, j.Workload); s.Workload < 0 {
+		return bad("workload", "%q is none of %s", j.Workload, strings.Join(h.place.Site.Workloads, ", "))
+	}
+	if j.Customer != "" {
+		if s.Customer = indexOf(h.place.Site.Customers, j.Customer); s.Customer < 0 {
+			return bad("customer", "%q is none of %s", j.Customer, strings.Join(h.place.Site.Customers, ", "))
+		}
+	} else {
+		s.Customer = len(h.place.Site.Customers)
+	}
+	switch {
+	case !(j.Cores > 0 && j.Cores <= 1e6):
+		return bad("cores", "%g is not above 0", j.Cores)
+	case !(j.MemoryGiB > 0 && j.MemoryGiB <= 1e6):
+		return bad("memory_gib", "%g is not above 0", j.MemoryGiB)
+	case j.Count < 0 || j.Count > 100_000:
+		return bad("count", "%d is not from 0 to 100000", j.Count)
+	case j.RunForMS < 0 || j.RunForMS > 365*24*3600*1000:
+		return bad("run_for_ms", "%d is not from 0 to a year", j.RunForMS)
+	case len(j.Labels) > 32:
+		return bad("labels", "%d are more than 32", len(j.Labels))
+	}
+	for k, v := range j.Labels {
+		if k == "" || len(k) > 63 || len(v) > 63 || strings.ContainsAny(k+v, "=,") {
+			return bad("labels", "%q: keys and values have up to 63 bytes, no = and no comma", k)
+		}
+	}
+	return s, nil
+}
+
+func goodID(s string) bool {
+	if s == "" || len(s) > 63 {
+		return false
+	}
+	return strings.IndexFunc(s, func(r rune) bool { return !(r >= 'a' && r <= 'z' || r >= '0' && r <= '9' || r == '-') }) < 0
+}
+
+func indexOf(all []string, s string) int {
+	for i, x := range all {
+		if x == s {
+			return i
+		}
+	}
+	return -1
+}
+
+// Why returns the reasons why a container does not run, asking a placer. The times are unix milliseconds.
+func (h *Host) Why(container string) (reasons []waiting.Reason, state string, err error) {
+	type answer struct {
+		reasons []waiting.Reason
+		state   string
+	}
+	got := make(chan answer, 1)
+	found := false
+	if !h.ask(func() {
+		view, ok := h.views[container]
+		if found = ok; !ok {
+			return
+		}
+		h.explain(view, func(w *link.Why) {
+			v, ok := h.views[container]
+			if !ok {
+				v = view
+			}
+			got <- answer{waiting.Explain(placer.Time(h.loop.Now()), h.facts(v, w)), v.State.String()}
+		})
+	}) {
+		return nil, "", ErrStopped
+	}
+	if !found {
+		return nil, "", ErrUnknown
+	}
+	select {
+	case a := <-got:
+		return a.reasons, a.state, nil
+	case <-time.After(5 * time.Second):
+		return nil, "", ErrStopped
+	}
+}
+
+// explain asks the placer that was asked last, or another, and hands its word on; nil where none answers in time.
+func (h *Host) explain(v keeper.Container, then func(*link.Why)) {
+	if v.State == keeper.Running || v.State == keeper.Done {
+		then(nil)
+		return
+	}
+	if e := h.last[v.Job]; e != nil && h.loop.Now()-e.at < whyStands {
+		then(e.why)
+		return
+	}
+	for _, q := range h.asked {
+		if q.job == v.Job {
+			q.then = append(q.then, then)
+			return
+		}
+	}
+	o := h.Catalog.Get(Jobs, v.Job)
+	d := h.anyDoor(v.Door)
+	if o == nil || d == nil {
+		then(nil)
+		return
+	}
+	j := o.Value.(Job)
+	spec, err := h.spec(&j)
+	if err != nil {
+		then(nil)
+		return
+	}
+	h.seq++
+	q := &question{job: v.Job, then: []func(*link.Why){then}}
+	n := h.seq
+	h.asked[n] = q
+	h.loop.After(whyWithin, func() { h.answered(n, nil) })
+	d.write(&link.AskWhy{Seq: n, Work: work(spec, "why", "why")})
+}
+
+func (h *Host) answered(seq uint64, w *link.Why) {
+	q := h.asked[seq]
+	if q == nil {
+		return
+	}
+	delete(h.asked, seq)
+	if w != nil && w.Known {
+		h.last[q.job] = &explained{h.loop.Now(), w}
+		h.loop.After(whyStands, func() {
+			if e := h.last[q.job]; e != nil && h.loop.Now()-e.at >= whyStands {
+				delete(h.last, q.job)
+			}
+		})
+	}
+	for _, f := range q.then {
+		f(w)
+	}
+}
+
+func (h *Host) anyDoor(first int) *door {
+	if first >= 0 && first < len(h.doors) && h.doors[first].open {
+		return h.doors[first]
+	}
+	for _, d := range h.doors {
+		if d.open {
+			return d
+		}
+	}
+	return nil
+}
+
+func (h *Host) facts(v keeper.Container, w *link.Why) waiting.Facts {
+	f := waiting.Facts{Container: v, Doors: len(h.doors), ColdWindow: h.place.Site.Terms.ColdWindow}
+	for _, d := range h.doors {
+		if d.open {
+			f.DoorsOpen++
+			f.DoorOpen = f.DoorOpen || d.number == v.Door
+		}
+	}
+	if w != nil && w.Known {
+		f.Asked, f.ListAge = true, placer.Time(w.ListAge)
+		f.Explanation = placer.Explanation{Machines: w.Machines, Gone: w.Gone, OtherKind: w.OtherKind, Draining: w.Draining,
+			TooSmall: w.TooSmall, Closing: w.Closing, SpreadFull: w.SpreadFull, ColdSpent: w.ColdSpent, Resting: w.Resting,
+			Shunned: w.Shunned, NoCores: w.NoCores, NoMemory: w.NoMemory, Free: w.Free, Yielding: w.Yielding, NoRoomShare: w.NoRoomShare}
+	}
+	halls := map[int]*waiting.Hall{}
+	most := -1
+	for _, e := range h.halls {
+		x := halls[e.Zone]
+		if x == nil {
+			x = &waiting.Hall{Name: fmt.Sprint(e.Zone)}
+			halls[e.Zone] = x
+			most = max(most, e.Zone)
+		}
+		x.Machines++
+		if e.State == link.Draining {
+			x.Drained++
+		}
+	}
+	for z := 0; z <= most; z++ {
+		if halls[z] != nil {
+			f.Halls = append(f.Halls, *halls[z])
+		}
+	}
+	return f
+}
+
+// turn hands the keeper what came and carries out what it wants.
+func (h *Host) turn() {
+	events := h.events
+	if len(events) == 0 {
+		return
+	}
+	h.events = nil
+	for _, a := range h.keeper.Handle(placer.Time(h.loop.Now()), events) {
+		switch a := a.(type) {
+		case keeper.Submit:
+			h.doors[a.Door].write(&link.Submit{Left: link.Span(a.Left), Work: h.submission(a)})
+		case keeper.Cancel:
+			h.doors[a.Door].write(&link.Cancel{Container: a.Ask, Key: a.Key})
+		case keeper.Changed:
+			h.show(a.Container)
+		case keeper.Removed:
+			id := containerID(a.Job, a.Index)
+			delete(h.views, id)
+			h.Catalog.Delete(Containers, id)
+		case keeper.Wake:
+			h.loop.After(loop.Tick(a.After), func() { h.events = append(h.events, keeper.Woke{}) })
+		}
+	}
+}
+
+func containerID(job string, index int) string { return fmt.Sprintf("%s.%d", job, index) }
+
+func (h *Host) show(v keeper.Container) {
+	c := Container{ID: containerID(v.Job, v.Index), Job: v.Job, Index: v.Index, State: v.State.String(), Leaving: v.Leaving,
+		Machine: v.Machine, SinceMS: int64(v.Since / placer.Millisecond), UntilMS: int64(v.Until / placer.Millisecond),
+		Tries: v.Tries, Starts: v.Starts, Last: v.Last}
+	if v.Door >= 0 {
+		c.Placer = h.doors[v.Door].name
+	}
+	h.views[c.ID] = v
+	h.Catalog.Put(Containers, c.ID, c)
+}
+
+func work(s keeper.Spec, container, key string) link.Work {
+	return link.Work{Container: container, Key: key, Service: s.Service, Workload: s.Workload, Customer: s.Customer, Cores: s.Cores,
+		Memory: s.Memory, RunFor: link.Span(s.RunFor)}
+}
+
+func (h *Host) submission(a keeper.Submit) link.Work {
+	w := work(a.Spec, a.Ask, a.Key)
+	w.Again = a.Again
+	return w
+}
