--- a/cmd/glenport-lab/main.go
+++ b/cmd/glenport-lab/main.go
@@ -27,7 +27,7 @@
 func main() {
 	root := &cobra.Command{Use: "glenport-lab", Short: "Stand-ins, bad days and their audit, on loopback",
 		SilenceUsage: true, SilenceErrors: true}
-	root.AddCommand(dayCommand(), auditCommand(), replayCommand(), loadCommand(), placerCommand())
+	root.AddCommand(dayCommand(), auditCommand(), replayCommand(), loadCommand(), trialCommand(), placerCommand())
 	if err := root.Execute(); errors.Is(err, errNotHeld) {
 		os.Exit(1)
 	} else if err != nil {
@@ -167,3 +167,43 @@
 	c.Flags().IntVar(&rule, "sabotage", 0, "rule to break")
 	return c
 }
+
+func trialCommand() *cobra.Command {
+	trial := &cobra.Command{Use: "trial", Short: "Prove a subsystem end to end, with faults"}
+	var dir string
+	var cycles int
+	var lie bool
+	why := &cobra.Command{Use: "why", Short: "Owners read the true reason why their work waits, within a second", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			program, err := placerProgram(0)
+			if err != nil {
+				return err
+			}
+			d, err := lab.LoadDay("days/why.yaml")
+			if err != nil {
+				return err
+			}
+			dir, done, err := folder(dir)
+			if err != nil {
+				return err
+			}
+			defer done()
+			t := &lab.WhyTrial{Cycles: cycles, Lie: lie, Out: os.Stdout}
+			ok, err := t.Run(d, dir, program)
+			if err != nil {
+				fmt.Printf("trial why: FAILED %v\n", err)
+				return errNotHeld
+			}
+			if !ok {
+				fmt.Println("trial why: FAILED an owner read what was not so, or too late")
+				return errNotHeld
+			}
+			fmt.Println("trial why: ok")
+			return nil
+		}}
+	why.Flags().StringVar(&dir, "dir", "", "folder to keep the logs in")
+	why.Flags().IntVar(&cycles, "cycles", 50, "of draining and filling, four changes each")
+	why.Flags().BoolVar(&lie, "sabotage", false, "read another reason than the API tells")
+	trial.AddCommand(why)
+	return trial
+}
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -30,6 +30,7 @@
 	Owners   *standin.Owners
 	Placers  []*Placer
 	Site     *site.Placer // of the first placer
+	ListAddr string       // the list's own, without a tap
 	record   *tap.Writer
 }
 
@@ -221,6 +222,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.ListAddr = list
 	listTap, err := c.Net.Tap(link.List, "list", func() string { return list })
 	if err != nil {
 		return nil, err
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -788,7 +788,7 @@
 }
 
 // Explain tells what stands between a container and each machine, as of the last batch: a machine counts
-// under the first filter that leaves it out, or under what the list says of its room. It changes nothing.
+// under the first thing that keeps it from there, the list's word on its room among them. It changes nothing.
 func (p *Placer) Explain(a Ask) Explanation {
 	x := Explanation{Yielding: p.full > overAsked, NoRoomShare: p.full}
 	if a.Workload >= len(p.terms.Workloads) {
@@ -816,6 +816,10 @@
 			x.Draining++
 		case m.contract <= 0 || a.Cores > k.Cores*t.AcceptCores || a.Memory > k.Memory*t.AcceptMemory:
 			x.TooSmall++
+		case t.ListedAsks && asks.cores+a.Cores > k.Cores*t.AcceptCores:
+			x.NoCores++ // whatever else is held against it, it is full
+		case t.ListedAsks && asks.memory+a.Memory > k.Memory*t.AcceptMemory:
+			x.NoMemory++
 		case p.now < m.shutUntil:
 			x.Closing++
 		case !p.spreadHolds(c, m):
@@ -826,10 +830,6 @@
 			x.Resting++
 		case p.shuns(m, c):
 			x.Shunned++
-		case t.ListedAsks && asks.cores+a.Cores > k.Cores*t.AcceptCores:
-			x.NoCores++
-		case t.ListedAsks && asks.memory+a.Memory > k.Memory*t.AcceptMemory:
-			x.NoMemory++
 		default:
 			x.Free++
 		}
