--- a/cmd/glenport-lab/load.go
+++ b/cmd/glenport-lab/load.go
@@ -41,6 +41,24 @@
 			}
 			return w.Flush()
 		}}
+	var fleet, waiting, watchers int
+	api := &cobra.Command{Use: "api", Short: "Measure a keeper with containers that wait", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			program, err := placerProgram(0)
+			if err != nil {
+				return err
+			}
+			dir, done, err := folder("")
+			if err != nil {
+				return err
+			}
+			defer done()
+			return lab.MeasureAPI("days/why-placer.yaml", dir, program, fleet, waiting, watchers, os.Stdout)
+		}}
+	api.Flags().IntVar(&fleet, "machines", 1000, "how many machines")
+	api.Flags().IntVar(&waiting, "waiting", 10000, "how many containers wait")
+	api.Flags().IntVar(&watchers, "watchers", 1000, "how many watch")
+	c.AddCommand(api)
 	c.Flags().IntSliceVar(&machines, "machines", []int{10, 100, 1000}, "how many machines")
 	c.Flags().IntSliceVar(&rates, "rates", []int{300, 3000}, "submissions a second")
 	c.Flags().DurationVar(&length, "length", 10*time.Second, "of each measurement")
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -18,7 +18,7 @@
 	resumeGrows = 4
 	reachAtOnce = 32 // machines asked in one step what they hold
 	reachEvery  = 100 * placer.Millisecond
-	reachAgain  = 5 * placer.Second // one that could not be asked
+	reachAgain  = 2 * placer.Second // one that could not be asked
 	sureWithin  = 3 * placer.Second // after a start: how long asks that came before wait for all to have told
 	holdOff     = 500 * placer.Millisecond
 	fullHoldOff = placer.Second
@@ -242,17 +242,24 @@
 		case Unheard:
 			if h := e.Held; t.effect(h) != placer.Reissuable {
 				t.doubts[h.Ask.Key] = doubt{h.Machine, h.Life, h.Bid, now}
+				t.inquire(h.Machine)
 			}
 		case Told:
 			if d := t.doubts[e.Held.Ask.Key]; d.bid == e.Held.Bid {
 				delete(t.doubts, e.Held.Ask.Key)
 			}
+			t.told(e.Held.Machine) // its link stands, and what else it knows it will tell by it
 		case LateYes:
 			delete(t.doubts, e.Held.Ask.Key)
 			t.lateYes(e.Held)
 		case Holds:
 			t.holds(e)
 		case Broke:
+			for _, q := range t.asking {
+				if q.machine == e.Machine {
+					q.sent, q.at = false, now
+				}
+			}
 			if len(t.at[e.Machine]) > 0 && t.broken[e.Machine] == nil {
 				t.broken[e.Machine] = &gap{pause: resumeFirst, idle: true, next: now}
 			}
@@ -324,6 +331,17 @@
 	return ok && t.effects[a.Workload] == placer.AtMostOnce
 }
 
+// inquire has a machine asked what it holds. Where its link stands nothing is to be done: its word comes by that,
+// or the link breaks and is then made anew.
+func (t *Table) inquire(m placer.MachineID) {
+	for _, q := range t.asking {
+		if q.machine == m {
+			return
+		}
+	}
+	t.asking = append(t.asking, &inquiry{machine: m, at: t.now})
+}
+
 func (t *Table) undoubt(m placer.MachineID) {
 	for key, d := range t.doubts {
 		if d.machine == m {
