--- a/cmd/glenport-lab/load.go
+++ b/cmd/glenport-lab/load.go
@@ -58,7 +58,23 @@
 	api.Flags().IntVar(&fleet, "machines", 1000, "how many machines")
 	api.Flags().IntVar(&waiting, "waiting", 10000, "how many containers wait")
 	api.Flags().IntVar(&watchers, "watchers", 1000, "how many watch")
-	c.AddCommand(api)
+	var keptRate int
+	kept := &cobra.Command{Use: "kept", Short: "Measure the way of jobs through a keeper", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			program, err := placerProgram(0)
+			if err != nil {
+				return err
+			}
+			dir, done, err := folder("")
+			if err != nil {
+				return err
+			}
+			defer done()
+			return lab.MeasureKept("days/why-placer.yaml", dir, program, fleet, keptRate, 5*time.Second, os.Stdout)
+		}}
+	kept.Flags().IntVar(&fleet, "machines", 100, "how many machines")
+	kept.Flags().IntVar(&keptRate, "rate", 300, "jobs a second")
+	c.AddCommand(api, kept)
 	c.Flags().IntSliceVar(&machines, "machines", []int{10, 100, 1000}, "how many machines")
 	c.Flags().IntSliceVar(&rates, "rates", []int{300, 3000}, "submissions a second")
 	c.Flags().DurationVar(&length, "length", 10*time.Second, "of each measurement")
--- a/cmd/glenport-lab/main.go
+++ b/cmd/glenport-lab/main.go
@@ -171,7 +171,7 @@
 func trialCommand() *cobra.Command {
 	trial := &cobra.Command{Use: "trial", Short: "Prove a subsystem end to end, with faults"}
 	var dir string
-	var cycles int
+	var cycles, steps int
 	var lie bool
 	why := &cobra.Command{Use: "why", Short: "Owners read the true reason why their work waits, within a second", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
@@ -188,7 +188,7 @@
 				return err
 			}
 			defer done()
-			t := &lab.WhyTrial{Cycles: cycles, Lie: lie, Out: os.Stdout}
+			t := &lab.WhyTrial{Cycles: cycles, Steps: steps, Lie: lie, Out: os.Stdout}
 			ok, err := t.Run(d, dir, program)
 			if err != nil {
 				fmt.Printf("trial why: FAILED %v\n", err)
@@ -203,6 +203,7 @@
 		}}
 	why.Flags().StringVar(&dir, "dir", "", "folder to keep the logs in")
 	why.Flags().IntVar(&cycles, "cycles", 50, "of draining and filling, four changes each")
+	why.Flags().IntVar(&steps, "steps", 0, "play the first so many steps only; 0: all")
 	why.Flags().BoolVar(&lie, "sabotage", false, "read another reason than the API tells")
 	trial.AddCommand(why)
 	return trial
--- a/internal/lab/loadapi.go
+++ b/internal/lab/loadapi.go
@@ -147,3 +147,77 @@
 		watchers, changes, ms(delays, 50), ms(delays, 99), ms(delays, 100), missed.Load())
 	return nil
 }
+
+// MeasureKept measures the way through a keeper: jobs of one container each, posted at a steady rate, from the
+// request to the line of a watch that says running, against machines that answer at once.
+func MeasureKept(template, dir string, program []string, machines, rate int, length time.Duration, out io.Writer) error {
+	b, err := bringBench(template, dir, program, machines, false)
+	if err != nil {
+		return err
+	}
+	defer b.close()
+	t := &WhyTrial{Out: out, Cluster: &Cluster{ListAddr: b.list.Addr().String(), Placers: []*Placer{b.placer}}}
+	if err := os.Rename(b.placer.file, dir+"/placer-0.yaml"); err != nil {
+		return err
+	}
+	if err := t.startKeeperFor(dir, program[0], machines); err != nil {
+		return err
+	}
+	defer t.stopKeeper()
+	total := int(float64(rate) * length.Seconds())
+	sent := make([]atomic.Int64, total)
+	took := hdrhistogram.New(1, 60_000_000, 3)
+	a, err := http.Get("http://" + t.api + "/v1/watch?kinds=containers")
+	if err != nil {
+		return err
+	}
+	defer a.Body.Close()
+	done := make(chan int, 1)
+	go func() {
+		n := 0
+		for lines := bufio.NewScanner(a.Body); n < total && lines.Scan(); {
+			var c struct {
+				ID     string
+				Object struct{ State string }
+			}
+			json.Unmarshal(lines.Bytes(), &c)
+			var i int
+			if _, err := fmt.Sscanf(c.ID, "j%d.0", &i); err == nil && c.Object.State == "running" {
+				took.RecordValue(max(1, (time.Now().UnixNano()-sent[i].Load())/1000))
+				n++
+			}
+		}
+		done <- n
+	}()
+	var each sync.WaitGroup
+	var next atomic.Int64
+	began := time.Now()
+	for range 16 {
+		each.Go(func() {
+			for {
+				i := int(next.Add(1)) - 1
+				if i >= total {
+					return
+				}
+				time.Sleep(time.Until(began.Add(time.Duration(float64(i) / float64(rate) * float64(time.Second)))))
+				sent[i].Store(time.Now().UnixNano())
+				t.run(fmt.Sprint("j", i), "matcher", 1, 0.1, 0.1)
+			}
+		})
+	}
+	each.Wait()
+	n := 0
+	select {
+	case n = <-done:
+	case <-time.After(10 * time.Second):
+		return fmt.Errorf("not all of %d jobs run", total)
+	}
+	s, err := b.placer.Status()
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%d jobs at %d a second, %d machines: request to running in a watch p50 %.1f ms, p99 %.1f ms (of it the first "+
+		"100 ms at most are the keeper's spreading by chance); at the placer submission to bid p50 %.2f ms, p99 %.2f ms\n", n, rate,
+		machines, ms(took, 50), ms(took, 99), s["placing p50"], s["placing p99"])
+	return nil
+}
