BGP messages and the session's state machine, as a codec and a pure module

Need: a small speaker, sound by the RFCs, for announcements of service addresses.

Change: internal/bgp (open, update, notification, keepalive, refresh; faults answered or treated as RFC 7606 wants; packing by shared path) and internal/session (RFC 4271 with collision resolution, capabilities, timers, restart).

--- /dev/null
+++ b/internal/bgp/message_test.go
@@ -0,0 +1,164 @@
+package bgp
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+func prefix(s string) netip.Prefix { return netip.MustParsePrefix(s) }
+
+var path = Path{AS: []uint32{4200000001}, NextHop: netip.MustParseAddr("192.0.2.254"), MED: 7, HasMED: true, LocalPref: 100,
+	HasPref: true, Communities: []uint32{0xFFFF0000, 65000<<16 | 1}}
+
+var path6 = Path{AS: []uint32{65001, 65002}, NextHop: netip.MustParseAddr("2001:db8::1")}
+
+func samples() []Message {
+	return []Message{&Open{AS: 4200000001, Hold: 90, ID: [4]byte{10, 0, 0, 1}, Families: []Family{IPv4, IPv6}, FourByte: true,
+		Refresh: true, Restart: &Restart{Restarted: true, Time: 120, Kept: map[Family]bool{IPv4: true, IPv6: false}}},
+		&Open{AS: 65001, Hold: 0, ID: [4]byte{1}}, &Keepalive{}, &Refresh{IPv6}, &Notification{6, 2, []byte{2, 'h', 'i'}},
+		&Update{Withdrawn: []netip.Prefix{prefix("192.0.2.1/32"), prefix("198.51.100.0/25")}}, &Update{},
+		&Update{Announced: []netip.Prefix{prefix("192.0.2.0/24"), prefix("0.0.0.0/0")}, Path: path},
+		&Update{Withdrawn: []netip.Prefix{prefix("2001:db8::/48")}, Announced: []netip.Prefix{prefix("2001:db8:1::5/128")}, Path: path6}}
+}
+
+func encode(t testing.TB, m Message) []byte {
+	p, err := Append(nil, m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestRoundTrip(t *testing.T) {
+	for i, m := range samples() {
+		got, err := Decode(encode(t, m))
+		if err != nil || !reflect.DeepEqual(got, m) {
+			t.Errorf("%d: got %+v, %v, want %+v", i, got, err, m)
+		}
+	}
+}
+
+// Each fault is answered by the notification that its RFC asks for, or treated as a withdrawal.
+func TestFaults(t *testing.T) {
+	change := func(m Message, f func(p []byte) []byte) []byte { return f(encode(t, m)) }
+	update := func(attrs ...byte) []byte { // of attributes and the prefix 192.0.2.0/24
+		p := append(encode(t, &Keepalive{})[:18], typeUpdate, 0, 0, byte(len(attrs)>>8), byte(len(attrs)))
+		p = append(append(p, attrs...), 24, 192, 0, 2)
+		p[17] = byte(len(p))
+		return p
+	}
+	good := []byte{0x40, 1, 1, 0, 0x40, 2, 0, 0x40, 3, 4, 192, 0, 2, 254}
+	open := samples()[1]
+	for _, tc := range []struct {
+		name string
+		in   []byte
+		want string // code/subcode, or "withdrawn", or "ok"
+	}{
+		{"marker", change(open, func(p []byte) []byte { p[3] = 0; return p }), "1/1"},
+		{"type", change(open, func(p []byte) []byte { p[18] = 9; return p }), "1/3"},
+		{"length", change(&Keepalive{}, func(p []byte) []byte { p[17] = 20; return append(p, 0) }), "1/2"},
+		{"version", change(open, func(p []byte) []byte { p[19] = 3; return p }), "2/1"},
+		{"hold time", change(open, func(p []byte) []byte { p[23] = 2; return p }), "2/6"},
+		{"identifier", change(open, func(p []byte) []byte { p[24] = 0; return p }), "2/3"},
+		{"parameters beyond the end", change(open, func(p []byte) []byte { p[28] = 9; return p }), "2/0"},
+		{"parameter of another sort", change(open, func(p []byte) []byte { p[28], p[17] = 2, p[17]+2; return append(p, 1, 0) }), "2/4"},
+		{"capability cut short", change(open, func(p []byte) []byte { p[28], p[17] = 4, p[17]+4; return append(p, 2, 2, 65, 4) }), "2/0"},
+		{"withdrawn beyond the end", change(&Update{}, func(p []byte) []byte { p[20] = 9; return p }), "3/1"},
+		{"prefix too long", change(&Update{Withdrawn: []netip.Prefix{prefix("192.0.2.1/32")}}, func(p []byte) []byte { p[21] = 33; return p }), "3/10"},
+		{"good", update(good...), "ok"},
+		{"origin", update(append([]byte{0x40, 1, 1, 9}, good[4:]...)...), "withdrawn"},
+		{"flags", update(append([]byte{0xC0, 1, 1, 0}, good[4:]...)...), "withdrawn"},
+		{"no next hop", update(good[:7]...), "withdrawn"},
+		{"path", update(append([]byte{0x40, 1, 1, 0, 0x40, 2, 2, 2, 0}, good[7:]...)...), "withdrawn"},
+		{"communities", update(append(good, 0xC0, 8, 3, 1, 2, 3)...), "withdrawn"},
+		{"attribute cut short", update(append(good, 0x80, 4, 9)...), "withdrawn"},
+		{"an attribute twice", update(append(good, 0x40, 1, 1, 2)...), "ok"},
+		{"an unknown attribute", update(append(good, 0xC0, 99, 2, 1, 2)...), "ok"},
+		{"reachable prefixes", update(append(good, 0x80, 14, 5, 0, 2, 1, 16, 0)...), "3/9"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			m, err := Decode(tc.in)
+			got := "ok"
+			var f *Fault
+			if errors.As(err, &f) {
+				got = fmt.Sprintf("%d/%d", f.Code, f.Sub)
+			} else if u, ok := m.(*Update); ok && u.Treated != "" && len(u.Withdrawn) == 1 && len(u.Announced) == 0 {
+				got = "withdrawn"
+			}
+			if got != tc.want {
+				t.Errorf("got %s (%v, %+v), want %s", got, err, m, tc.want)
+			}
+		})
+	}
+}
+
+func TestShutdownMessage(t *testing.T) {
+	if got := ShutdownWith(strings.Repeat("ö", 100)).Said(); got != strings.Repeat("ö", 64) {
+		t.Errorf("said %q", got)
+	}
+	for _, data := range [][]byte{nil, {5, 'a'}, {200}, {1, 0xFF}} {
+		if got := (&Notification{CodeCease, Shutdown, data}).Said(); got != "" {
+			t.Errorf("%v says %q", data, got)
+		}
+	}
+}
+
+// A hundred thousand prefixes of one path are shared out without loss into few messages, none too long.
+func TestPack(t *testing.T) {
+	var all []netip.Prefix
+	for i := range 100_000 {
+		a := netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)})
+		if i%3 == 0 {
+			x := [16]byte{0x20, 1, 0xd, 0xb8, 14: byte(i >> 8), 15: byte(i)}
+			x[13] = byte(i >> 16)
+			a = netip.AddrFrom16(x)
+		}
+		all = append(all, netip.PrefixFrom(a, a.BitLen()))
+	}
+	p := path
+	p.NextHop = netip.MustParseAddr("192.0.2.254")
+	updates, seen, bytes := Pack(all[:1000], all, p), map[netip.Prefix]int{}, 0
+	for _, u := range updates {
+		b := encode(t, u)
+		bytes += len(b)
+		m, err := Decode(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, x := range m.(*Update).Announced {
+			seen[x]++
+		}
+	}
+	if len(seen) != len(all) || len(updates) > 450 {
+		t.Errorf("%d prefixes in %d messages", len(seen), len(updates))
+	}
+	t.Logf("%d prefixes: %d messages, %d bytes", len(all), len(updates), bytes)
+}
+
+// Whatever comes, decoding ends with a message or a fault; what it reads it can write and read again.
+func FuzzDecode(f *testing.F) {
+	for _, m := range samples() {
+		f.Add(encode(f, m))
+	}
+	f.Fuzz(func(t *testing.T, p []byte) {
+		m, err := Decode(p)
+		if err != nil {
+			var fault *Fault
+			if !errors.As(err, &fault) || fault.Code == 0 {
+				t.Fatalf("no notification for it: %v", err)
+			}
+			return
+		}
+		again, err := Append(nil, m)
+		if err != nil {
+			return // a next hop twice, say, may grow beyond the limit
+		}
+		if _, err := Decode(again); err != nil {
+			t.Fatalf("%+v was read and cannot be read again: %v", m, err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,495 @@
+// Package session is the state machine of one BGP peer (RFC 4271, section 8), with collision resolution (6.8),
+// capabilities (RFC 5492), hold and keepalive timers, graceful restart of the side that restarts (RFC 4724) and a
+// pause between tries that doubles. It is pure: Handle takes what happened on connections and timers and returns
+// what is to be sent, opened, closed and told.
+package session
+
+import (
+	"fmt"
+
+	"glenport/internal/bgp"
+	"glenport/placer"
+)
+
+// State of a session, as RFC 4271 names them.
+type State uint8
+
+const (
+	Idle State = iota
+	Connect
+	Active
+	OpenSent
+	OpenConfirm
+	Established
+)
+
+func (s State) String() string {
+	return [...]string{"Idle", "Connect", "Active", "OpenSent", "OpenConfirm", "Established"}[s]
+}
+
+// Tuned values; the first two are those that RFC 4271 suggests.
+const (
+	connectRetry = 120 * placer.Second
+	openWait     = 4 * 60 * placer.Second // for the peer's Open
+	idleFirst    = placer.Second          // after a fault, doubled with each until a session has stood
+	idleMost     = 60 * placer.Second
+)
+
+// Peer is what is agreed with the peer beforehand.
+type Peer struct {
+	OwnAS    uint32
+	PeerAS   uint32
+	ID       [4]byte
+	Hold     placer.Time // 0: no keepalives
+	Families []bgp.Family
+	Passive  bool        // the peer calls
+	Restart  placer.Time // for how long the peer may keep our routes when we are gone; 0: not asked for
+}
+
+// Conn is a connection, by a number of the host's choice.
+type Conn int
+
+// Timer is one of the session's timers.
+type Timer uint8
+
+const (
+	RetryTimer Timer = iota
+	HoldTimer
+	KeepTimer
+	IdleTimer
+	timers
+)
+
+// Event is something that happened.
+type Event interface{ event() }
+
+type (
+	Start struct{}
+	// Stop ends the session for good, with a word to the peer.
+	Stop struct{ Why string }
+	// Opened is a connection that stands; Called tells that the peer made it. Closed is its end, or of a try.
+	Opened struct {
+		Conn   Conn
+		Called bool
+	}
+	Closed struct{ Conn Conn }
+	// Came is a message, Broken what is none.
+	Came struct {
+		Conn    Conn
+		Message bgp.Message
+	}
+	Broken struct {
+		Conn  Conn
+		Fault *bgp.Fault
+	}
+	Expired struct{ Timer Timer }
+)
+
+func (Start) event()   {}
+func (Stop) event()    {}
+func (Opened) event()  {}
+func (Closed) event()  {}
+func (Came) event()    {}
+func (Broken) event()  {}
+func (Expired) event() {}
+
+// Action is something to be done.
+type Action interface{ action() }
+
+type (
+	// Dial asks for a connection, under that number.
+	Dial struct{ Conn Conn }
+	Send struct {
+		Conn    Conn
+		Message bgp.Message
+	}
+	Close struct{ Conn Conn }
+	Set   struct {
+		Timer Timer
+		After placer.Time
+	}
+	Clear struct{ Timer Timer }
+	// Up is an established session: all routes are to be sent, and then, for each family where that was agreed, the
+	// end of them. Down is its end.
+	Up struct {
+		Families []bgp.Family
+		EndMark  bool
+		FourByte bool
+	}
+	Down struct{ Why string }
+	// Resend asks for all routes of a family again.
+	Resend struct{ Family bgp.Family }
+	// Ignored is an update: what peers announce is never taken (RFC 8212).
+	Ignored struct{ Update *bgp.Update }
+	Mode    struct{ Text string }
+)
+
+func (Dial) action()    {}
+func (Send) action()    {}
+func (Close) action()   {}
+func (Set) action()     {}
+func (Clear) action()   {}
+func (Up) action()      {}
+func (Down) action()    {}
+func (Resend) action()  {}
+func (Ignored) action() {}
+func (Mode) action()    {}
+
+// Session is one peer's. It holds two connections at most, while it is open which of them stays.
+type Session struct {
+	peer    Peer
+	out     []Action
+	running bool
+	state   State
+	conns   map[Conn]*conn
+	last    Conn // number of the last one dialled: the host numbers called ones from 1,000,000 on
+	dialing Conn
+	hold    placer.Time // as agreed
+	pause   placer.Time
+	ever    bool // a session has stood in this life
+}
+
+type conn struct {
+	number Conn
+	called bool
+	open   *bgp.Open // the peer's
+}
+
+func New(p Peer) *Session {
+	return &Session{peer: p, conns: map[Conn]*conn{}, pause: idleFirst}
+}
+
+// State is where the session stands.
+func (s *Session) State() State { return s.state }
+
+// Handle takes one event and returns what is to be done, in that order.
+func (s *Session) Handle(e Event) []Action {
+	s.out = nil
+	switch e := e.(type) {
+	case Start:
+		if !s.running {
+			s.running = true
+			s.begin()
+		}
+	case Stop:
+		s.running = false
+		s.finish(bgp.ShutdownWith(e.Why), "stopped: "+e.Why)
+		s.state = Idle
+	case Opened:
+		s.opened(e)
+	case Closed:
+		s.closed(e.Conn)
+	case Came:
+		s.came(e.Conn, e.Message)
+	case Broken:
+		if s.conns[e.Conn] != nil {
+			s.drop(e.Conn, &e.Fault.Notification, e.Fault.Text)
+		}
+	case Expired:
+		s.expired(e.Timer)
+	}
+	return s.out
+}
+
+func (s *Session) do(a Action) { s.out = append(s.out, a) }
+
+func (s *Session) turn(to State) { s.state = to }
+
+// begin calls the peer, or waits for its call.
+func (s *Session) begin() {
+	s.do(Clear{IdleTimer})
+	s.do(Set{RetryTimer, connectRetry})
+	if s.peer.Passive {
+		s.turn(Active)
+		return
+	}
+	s.last++
+	s.dialing = s.last
+	s.turn(Connect)
+	s.do(Dial{s.dialing})
+}
+
+func (s *Session) opened(e Opened) {
+	if !e.Called && e.Conn != s.dialing {
+		s.do(Close{e.Conn}) // a try that was given up
+		return
+	}
+	if !e.Called {
+		s.dialing = 0
+	}
+	// A peer that calls while nothing runs, or where there are two connections already, is turned away.
+	if !s.running || s.state == Idle || s.state == Established || len(s.conns) >= 2 {
+		s.do(Send{e.Conn, &bgp.Notification{Code: bgp.CodeCease, Sub: bgp.Rejected}})
+		s.do(Close{e.Conn})
+		return
+	}
+	s.conns[e.Conn] = &conn{number: e.Conn, called: e.Called}
+	s.do(Clear{RetryTimer})
+	s.do(Set{HoldTimer, openWait})
+	s.do(Send{e.Conn, s.hello()})
+	if s.state < OpenSent {
+		s.turn(OpenSent)
+	}
+}
+
+func (s *Session) hello() *bgp.Open {
+	o := &bgp.Open{AS: s.peer.OwnAS, Hold: uint16(s.peer.Hold / placer.Second), ID: s.peer.ID, Families: s.peer.Families,
+		FourByte: true, Refresh: true}
+	if s.peer.Restart > 0 {
+		o.Restart = &bgp.Restart{Restarted: !s.ever, Time: uint16(min(4095, s.peer.Restart/placer.Second)), Kept: map[bgp.Family]bool{}}
+		for _, f := range s.peer.Families {
+			o.Restart.Kept[f] = true // machines forward on without us
+		}
+	}
+	return o
+}
+
+// closed is the end of a connection. The session ends with it, unless another one is still being agreed on.
+func (s *Session) closed(n Conn) {
+	if n == s.dialing {
+		s.dialing = 0
+		if s.state == Connect {
+			s.turn(Active)
+			s.rest("no connection")
+		}
+		return
+	}
+	if s.conns[n] == nil {
+		return
+	}
+	delete(s.conns, n)
+	if len(s.conns) > 0 {
+		return
+	}
+	s.ended("the connection ended")
+}
+
+// drop ends a connection with a notification.
+func (s *Session) drop(n Conn, m *bgp.Notification, why string) {
+	s.do(Send{n, m})
+	s.do(Close{n})
+	delete(s.conns, n)
+	if len(s.conns) == 0 {
+		s.ended(why)
+	}
+}
+
+// finish ends all connections.
+func (s *Session) finish(m *bgp.Notification, why string) {
+	for _, c := range s.ordered() {
+		s.do(Send{c.number, m})
+		s.do(Close{c.number})
+		delete(s.conns, c.number)
+	}
+	if s.dialing != 0 {
+		s.do(Close{s.dialing})
+		s.dialing = 0
+	}
+	s.ended(why)
+}
+
+func (s *Session) ordered() []*conn {
+	var all []*conn
+	for _, c := range s.conns {
+		all = append(all, c)
+	}
+	if len(all) == 2 && all[0].number > all[1].number {
+		all[0], all[1] = all[1], all[0]
+	}
+	return all
+}
+
+// ended tells of a session's end and rests before the next try.
+func (s *Session) ended(why string) {
+	if s.state == Established {
+		s.do(Down{why})
+	}
+	s.do(Clear{HoldTimer})
+	s.do(Clear{KeepTimer})
+	s.do(Clear{RetryTimer})
+	if s.state != Idle {
+		s.do(Mode{fmt.Sprintf("%s, was %s", why, s.state)})
+	}
+	s.turn(Idle)
+	if s.running {
+		s.rest(why)
+	}
+}
+
+// rest waits before the next try, longer after each that came to nothing.
+func (s *Session) rest(string) {
+	s.turn(Idle)
+	s.do(Clear{RetryTimer})
+	s.do(Set{IdleTimer, s.pause})
+	s.pause = min(idleMost, 2*s.pause)
+}
+
+func (s *Session) expired(t Timer) {
+	switch t {
+	case IdleTimer:
+		if s.running && s.state == Idle {
+			s.begin()
+		}
+	case RetryTimer:
+		if s.state == Connect || s.state == Active {
+			if s.dialing != 0 {
+				s.do(Close{s.dialing})
+				s.dialing = 0
+			}
+			s.begin()
+		}
+	case HoldTimer:
+		if s.state >= OpenSent {
+			s.finish(&bgp.Notification{Code: bgp.CodeHold}, "the peer was silent for the hold time")
+		}
+	case KeepTimer:
+		if s.state < OpenConfirm || s.hold == 0 {
+			return
+		}
+		for _, c := range s.ordered() {
+			if c.open != nil {
+				s.do(Send{c.number, &bgp.Keepalive{}})
+			}
+		}
+		s.do(Set{KeepTimer, s.hold / 3})
+	}
+}
+
+func (s *Session) came(n Conn, m bgp.Message) {
+	c := s.conns[n]
+	if c == nil {
+		return
+	}
+	if note, ok := m.(*bgp.Notification); ok {
+		why := fmt.Sprintf("the peer sent notification %d/%d", note.Code, note.Sub)
+		if said := note.Said(); said != "" {
+			why += ": " + said
+		}
+		s.do(Close{n})
+		delete(s.conns, n)
+		if len(s.conns) == 0 {
+			s.ended(why)
+		}
+		return
+	}
+	if c.open == nil {
+		if o, ok := m.(*bgp.Open); ok {
+			s.greeted(c, o)
+		} else {
+			s.drop(n, &bgp.Notification{Code: bgp.CodeState, Sub: 1}, fmt.Sprintf("%T where an Open was due", m))
+		}
+		return
+	}
+	if s.state == OpenConfirm {
+		if _, ok := m.(*bgp.Keepalive); !ok {
+			s.drop(n, &bgp.Notification{Code: bgp.CodeState, Sub: 2}, fmt.Sprintf("%T where a Keepalive was due", m))
+			return
+		}
+		s.establish(c)
+		return
+	}
+	switch m := m.(type) {
+	case *bgp.Keepalive:
+	case *bgp.Update:
+		s.do(Ignored{m})
+	case *bgp.Refresh:
+		for _, f := range s.shared(c.open) {
+			if f == m.Family {
+				s.do(Resend{f})
+			}
+		}
+	default:
+		s.drop(n, &bgp.Notification{Code: bgp.CodeState, Sub: 3}, fmt.Sprintf("%T in an established session", m))
+		return
+	}
+	s.alive()
+}
+
+func (s *Session) alive() {
+	if s.hold > 0 {
+		s.do(Set{HoldTimer, s.hold})
+	}
+}
+
+// shared are the families that both sides have; a peer without the capability has IPv4.
+func (s *Session) shared(o *bgp.Open) (all []bgp.Family) {
+	theirs := o.Families
+	if len(theirs) == 0 {
+		theirs = []bgp.Family{bgp.IPv4}
+	}
+	for _, f := range s.peer.Families {
+		for _, x := range theirs {
+			if x == f {
+				all = append(all, f)
+				break
+			}
+		}
+	}
+	return all
+}
+
+// greeted holds the peer's Open against what is agreed, and of two connections keeps the one that the side with the
+// higher identifier has made.
+func (s *Session) greeted(c *conn, o *bgp.Open) {
+	switch {
+	case o.AS != s.peer.PeerAS:
+		s.drop(c.number, &bgp.Notification{Code: bgp.CodeOpen, Sub: bgp.BadPeerAS}, fmt.Sprintf("the peer is AS %d, not %d", o.AS, s.peer.PeerAS))
+		return
+	case o.ID == s.peer.ID:
+		s.drop(c.number, &bgp.Notification{Code: bgp.CodeOpen, Sub: bgp.BadID}, "the peer has our identifier")
+		return
+	case !o.FourByte && (s.peer.OwnAS > 0xFFFF || s.peer.PeerAS > 0xFFFF):
+		s.drop(c.number, &bgp.Notification{Code: bgp.CodeOpen, Sub: bgp.BadCapability}, "the peer has no four-octet AS numbers")
+		return
+	case len(s.shared(o)) == 0:
+		s.drop(c.number, &bgp.Notification{Code: bgp.CodeOpen, Sub: bgp.BadCapability}, "no family is shared")
+		return
+	}
+	for _, other := range s.ordered() {
+		if other == c || other.open == nil {
+			continue
+		}
+		loser := c
+		if keepCalled := string(s.peer.ID[:]) < string(o.ID[:]); keepCalled == c.called {
+			loser = other
+		}
+		s.do(Send{loser.number, &bgp.Notification{Code: bgp.CodeCease, Sub: bgp.Collision}})
+		s.do(Close{loser.number})
+		delete(s.conns, loser.number)
+		s.do(Mode{"two connections met: one was closed"})
+		if loser == c {
+			return
+		}
+	}
+	c.open = o
+	s.hold = min(s.peer.Hold, placer.Time(o.Hold)*placer.Second)
+	s.turn(OpenConfirm)
+	s.do(Send{c.number, &bgp.Keepalive{}})
+	if s.hold == 0 {
+		s.do(Clear{HoldTimer})
+		s.do(Clear{KeepTimer})
+		return
+	}
+	s.do(Set{HoldTimer, s.hold})
+	s.do(Set{KeepTimer, s.hold / 3})
+}
+
+// establish is the session's begin. A connection that had not got so far is closed.
+func (s *Session) establish(c *conn) {
+	for _, other := range s.ordered() {
+		if other != c {
+			s.do(Send{other.number, &bgp.Notification{Code: bgp.CodeCease, Sub: bgp.Collision}})
+			s.do(Close{other.number})
+			delete(s.conns, other.number)
+		}
+	}
+	if s.dialing != 0 {
+		s.do(Close{s.dialing})
+		s.dialing = 0
+	}
+	s.turn(Established)
+	s.alive()
+	s.pause, s.ever = idleFirst, true
+	s.do(Up{s.shared(c.open), c.open.Restart != nil && s.peer.Restart > 0, c.open.FourByte})
+	s.do(Mode{"established"})
+}
