A BGP speaker in the placer: addresses of services announced while containers run

Need: the addresses of report services are to be announced when containers run behind them.

Change: internal/speaker hosts the sessions on the placer's loop, with one queue a peer in which changes join while the peer is behind, and a policy per peer (bart); the host tells it of containers that run, drain and end, and that all is known after a start; a bgp section in the placer's file with located faults. The fuzzer found a restart capability that could not be written again.

--- a/internal/bgp/message.go
+++ b/internal/bgp/message.go
@@ -69,6 +69,7 @@
 		Path      Path
 		// Treated says that the attributes were malformed and all prefixes count as withdrawn (RFC 7606).
 		Treated string
+		ends    Family // the end of routes of a family other than IPv4
 	}
 
 	// Path is the set of attributes that a speaker of service addresses uses.
@@ -253,7 +254,9 @@
 		}
 		r := &Restart{Restarted: v[0]&0x80 != 0, Time: binary.BigEndian.Uint16(v) & 0x0FFF, Kept: map[Family]bool{}}
 		for x := v[2:]; len(x) > 0; x = x[4:] {
-			r.Kept[Family(binary.BigEndian.Uint16(x))] = x[3]&0x80 != 0
+			if f := Family(binary.BigEndian.Uint16(x)); f == IPv4 || f == IPv6 { // others could not be written again
+				r.Kept[f] = x[3]&0x80 != 0
+			}
 		}
 		o.Restart = r
 	case 65:
@@ -459,6 +462,9 @@
 		if v[2] != 1 || f != IPv4 && f != IPv6 {
 			return nil
 		}
+		if len(v) == 3 {
+			u.ends = f
+		}
 		all, ok := prefixes(v[3:], f)
 		if !ok {
 			return fault(CodeUpdate, 9, nil, "an unreachable prefix is malformed")
@@ -562,6 +568,9 @@
 		}
 		attrs = append(attrs, value...)
 	}
+	if u.ends == IPv6 {
+		attr(0x80, attrUnreach, []byte{0, byte(IPv6), 1})
+	}
 	if len(gone6) > 0 {
 		value := []byte{0, byte(IPv6), 1}
 		for _, p := range gone6 {
@@ -646,3 +655,22 @@
 	pack(new6, here)
 	return out
 }
+
+// EndOfRoutes marks that all routes of a family were sent (RFC 4724, section 2).
+func EndOfRoutes(f Family) *Update {
+	if f == IPv4 {
+		return &Update{}
+	}
+	return &Update{ends: f}
+}
+
+// Ends tells whether an update marks the end of routes of a family.
+func (u *Update) Ends() (Family, bool) {
+	if len(u.Withdrawn)+len(u.Announced) > 0 || u.Treated != "" {
+		return 0, false
+	}
+	if u.ends == IPv6 {
+		return IPv6, true
+	}
+	return IPv4, true
+}
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -139,8 +139,10 @@
 	Lost struct{ ID placer.ContainerID }
 	// Reach asks for a link to a machine.
 	Reach struct{ Machine placer.MachineID }
-	Wake  struct{ After placer.Time }
-	Log   struct{ Text string }
+	// Sure says, once, that all that runs from earlier lives is known, as far as it can be.
+	Sure struct{}
+	Wake struct{ After placer.Time }
+	Log  struct{ Text string }
 )
 
 func (Dismiss) action() {}
@@ -151,6 +153,7 @@
 func (Adopt) action()   {}
 func (Lost) action()    {}
 func (Reach) action()   {}
+func (Sure) action()    {}
 func (Wake) action()    {}
 func (Log) action()     {}
 
@@ -162,6 +165,7 @@
 	effects []placer.Effect
 	now     placer.Time
 	began   placer.Time
+	said    bool // and that was said
 	sure    bool // every machine of the first list told what it holds, or time is up
 	listed  bool
 	out     []Action
@@ -563,6 +567,13 @@
 			next = at
 		}
 	}
+	if !t.said {
+		if t.said = t.isSure(); t.said {
+			t.do(Sure{})
+		} else {
+			later(t.began + sureWithin)
+		}
+	}
 	for _, q := range t.asking {
 		if !q.sent && q.at <= t.now {
 			q.sent = true
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -8,10 +8,12 @@
 	"log/slog"
 	"time"
 
+	"glenport/internal/announce"
 	"glenport/internal/custody"
 	"glenport/internal/link"
 	"glenport/internal/loop"
 	"glenport/internal/site"
+	"glenport/internal/speaker"
 	"glenport/placer"
 )
 
@@ -48,6 +50,7 @@
 	owners    map[custody.Caller]*owner // until their link ends
 	peers     map[int]*peer             // until their link ends
 	list      listLink
+	routes    *speaker.Speaker // nil where no address is announced
 	keeper    keeper
 	lastBid   uint64
 	lastOwner custody.Caller
@@ -97,6 +100,9 @@
 	if h.loop, err = loop.New(h.turn); err != nil {
 		return nil, err
 	}
+	if s.BGP != nil {
+		h.routes = speaker.New(h.loop, *s.BGP, log)
+	}
 	h.loop.OnFlushed(func() { h.meter.flushed(h.loop.Clock()) })
 	if h.door, err = h.loop.Listen(s.Door, h.accept, func(err error) {
 		h.log.Warn("caller turned away", "why", err, "connections", h.loop.Conns())
@@ -112,7 +118,14 @@
 func (h *Host) Addr() string { return h.door.Addr().String() }
 
 // Stop ends Run; any goroutine may call it.
-func (h *Host) Stop() { h.loop.Stop() }
+func (h *Host) Stop() {
+	h.loop.Post(func() {
+		if h.routes != nil {
+			h.routes.Stop("this placer is stopped")
+		}
+	})
+	h.loop.Stop()
+}
 
 // Run serves until Stop.
 func (h *Host) Run() error {
@@ -131,6 +144,25 @@
 	}
 	h.learn(placer.OldList, version, entries)
 	h.loop.After(housekeeping, h.keepHouse)
+	if h.routes != nil {
+		if err := h.routes.Start(); err != nil {
+			h.log.Error("no addresses are announced", "why", err)
+			h.routes = nil
+		}
+	}
+}
+
+// route tells the speaker of a container that runs, or does no longer.
+func (h *Host) route(b *bid, runs bool) {
+	service := b.c.ask.Service
+	if h.routes == nil || !h.routes.Offers(service) {
+		return
+	}
+	if runs {
+		h.routes.Handle(announce.Runs{Service: service, Container: string(b.c.ask.ID), Draining: b.at.draining})
+	} else {
+		h.routes.Handle(announce.Ends{Service: service, Container: string(b.c.ask.ID)})
+	}
 }
 
 func (h *Host) tell(e custody.Event) { h.told = append(h.told, e) }
@@ -230,6 +262,10 @@
 		} else {
 			h.tell(custody.NoLink{Machine: a.Machine})
 		}
+	case custody.Sure:
+		if h.routes != nil {
+			h.routes.Whole()
+		}
 	case custody.Wake:
 		h.loop.After(loop.Tick(a.After), func() { h.tell(custody.Woke{}) })
 	case custody.Log:
@@ -334,6 +370,7 @@
 	e.Over = e.Over || c.answered
 	if b.placed {
 		h.meter.running--
+		h.route(b, false)
 		if c.owner != nil {
 			c.owner.write(&link.Fate{Container: c.heardAs, Machine: string(m.id),
 				Outcome: link.OutcomeOf(e.Outcome), Reason: link.Reason(e.Reason)})
@@ -375,6 +412,7 @@
 	h.loop.Cancel(b.timer)
 	b.timer, b.placed = nil, true
 	h.meter.running++
+	h.route(b, true)
 	h.tell(custody.Placed{ID: c.ask.ID, Machine: b.at.id, Bid: b.number})
 	if c.answered { // too late for its owner: what runs stays known until it ends
 		h.tell(custody.LateYes{Held: b.held()})
@@ -404,6 +442,7 @@
 	h.open[held.Ask.ID] = c
 	h.meter.running++
 	h.meter.adopted++
+	h.route(b, true)
 	h.feed(placer.TookOver{Ask: held.Ask, Machine: m.id})
 }
 
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -362,17 +362,28 @@
 	var old syscall.Rlimit
 	syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old)
 	defer syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old)
-	addr := machineThat(t, "a", &link.Holds{}, func(c net.Conn, f link.Frame) bool {
-		if o, ok := f.(*link.Offer); ok {
-			put(c, &link.Yes{Bid: o.Bid, Running: true})
+	closed := make(chan struct{}, 10) // a descriptor of the machine's that is freed late would be one to use
+	addr := serve(t, func(c net.Conn) {
+		link.Read(c, link.MostFrame)
+		put(c, link.Greeting(link.Machine, "a", 1), &link.Holds{})
+		for {
+			f, err := link.Read(c, link.MostFrame)
+			if err != nil {
+				c.Close()
+				closed <- struct{}{}
+				return
+			}
+			if o, ok := f.(*link.Offer); ok {
+				put(c, &link.Yes{Bid: o.Bid, Running: true})
+			}
 		}
-		return true
 	})
 	s := terms(t)
 	r := start(t, s, bidTo(0), map[string]string{"a": addr})
 	until(t, func() bool { return on1(r.h, func() bool { return r.h.machines["a"].ready }) }) // asked what it holds
 	r.h.loop.Post(func() { r.h.machines["a"].conn.Reset() })
 	until(t, func() bool { return on1(r.h, func() bool { return r.h.machines["a"].conn == nil }) })
+	<-closed
 	lowest, _ := syscall.Dup(0)
 	syscall.Close(lowest)
 	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(lowest), Max: old.Max})
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -121,6 +121,14 @@
 			ids = append(ids, m.id)
 		}
 		m.gone = l.State == link.Gone
+		if drains := l.State == link.Draining; drains != m.draining {
+			m.draining = drains
+			for _, b := range ordered(m.bids) {
+				if b.placed {
+					h.route(b, true)
+				}
+			}
+		}
 		if m.addr != l.Addr && l.Addr != "" {
 			if m.addr = l.Addr; m.conn != nil {
 				m.conn.Reset() // it has moved
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -15,6 +15,7 @@
 	id          placer.MachineID
 	addr        string
 	gone        bool
+	draining    bool
 	incarnation uint64
 	startedAt   placer.Time
 
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -409,6 +409,15 @@
 	return nil
 }
 
+// Peer is the address of the other end; the zero one where that is not known.
+func (c *Conn) Peer() netip.AddrPort {
+	sa, err := unix.Getpeername(c.fd)
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	return addrPort(sa)
+}
+
 // Waiting is the number of bytes yet to be written.
 func (c *Conn) Waiting() int { return len(c.out) }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -10,6 +10,7 @@
 	"glenport/internal/custody"
 	"glenport/internal/loop"
 	"glenport/internal/settings"
+	"glenport/internal/speaker"
 	"glenport/placer"
 )
 
@@ -29,6 +30,7 @@
 	Kinds     []string // their names, in the order of the terms
 	Workloads []string
 	Customers []string
+	BGP       *speaker.Place // nil where no address is announced
 }
 
 type file struct {
@@ -47,6 +49,7 @@
 	Workloads []workload      `yaml:"workloads"`
 	Customers []customer      `yaml:"customers"`
 	OverShare settings.Number `yaml:"over_share" settings:"may"`
+	BGP       *bgpFile        `yaml:"bgp"`
 }
 
 type list struct {
@@ -250,6 +253,9 @@
 		p.Terms.Customers = append(p.Terms.Customers, placer.Customer{Cores: c.above0(k.Cores)})
 		p.Customers = append(p.Customers, k.Name.Text)
 	}
+	if f.BGP != nil {
+		p.BGP = c.bgp(f.BGP)
+	}
 	if f.OverShare.Value < 0 || f.OverShare.Value > 1 {
 		c.fail(f.OverShare.Place, "%g is no part from 0 to 1", f.OverShare.Value)
 	}
--- /dev/null
+++ b/internal/speaker/speaker.go
@@ -0,0 +1,452 @@
+// Package speaker hosts BGP sessions on the event loop and carries out what announce and session decide. All of it
+// runs on the loop's goroutine.
+package speaker
+
+import (
+	"errors"
+	"log/slog"
+	"net/netip"
+	"sort"
+
+	"glenport/internal/announce"
+	"glenport/internal/bgp"
+	"glenport/internal/loop"
+	"glenport/internal/session"
+	"glenport/placer"
+
+	"github.com/gaissmai/bart"
+)
+
+const (
+	output     = 1 << 20  // bytes that may wait for one peer
+	enough     = 64 << 10 // beyond which changes gather and are joined in place of being written
+	dialWithin = 5 * loop.Second
+	calledFrom = 1_000_000 // numbers of connections that peers made
+	drainAgain = 20 * loop.Millisecond
+)
+
+// Place is what a speaker is told.
+type Place struct {
+	AS       uint32
+	ID       [4]byte
+	Listen   string // empty: peers do not call
+	Peers    []Peer
+	Services map[string]announce.Service
+}
+
+// Peer is one neighbour. What is not allowed is not announced to it (RFC 8212).
+type Peer struct {
+	Addr     string
+	AS       uint32
+	Hold     placer.Time
+	Families []bgp.Family
+	Passive  bool
+	Restart  placer.Time
+	Allow    []netip.Prefix
+}
+
+// Speaker is a running one.
+type Speaker struct {
+	place    Place
+	log      *slog.Logger
+	loop     *loop.Loop
+	listener *loop.Listener
+	announce *announce.Announcer
+	peers    []*peer
+	lastCall session.Conn
+	whole    bool // all that runs is known: ends of routes may be marked
+	told     []announce.Event
+}
+
+// peer is the host's side of one session.
+type peer struct {
+	s       *Speaker
+	terms   Peer
+	session *session.Session
+	allow   bart.Lite
+	conns   map[session.Conn]*wire
+	timers  map[session.Timer]*loop.Timer
+	up      *session.Up
+	conn    *wire
+	due     map[netip.Prefix]*announce.Path // changes to be told; nil: a withdrawal. Emptied as they are written
+	sent    map[netip.Prefix]bool           // what the peer was told
+	ending  bool                            // the ends of routes are to be marked
+	filling *loop.Timer
+
+	Updates, Bytes, Flaps int
+	Why                   string
+}
+
+// wire is one connection of a peer.
+type wire struct {
+	p      *peer
+	number session.Conn
+	called bool
+	conn   *loop.Conn
+	part   []byte
+	gone   bool
+}
+
+// New makes a speaker on a loop; Start begins its sessions.
+func New(l *loop.Loop, place Place, log *slog.Logger) *Speaker {
+	s := &Speaker{place: place, log: log, loop: l, announce: announce.New(), lastCall: calledFrom}
+	for _, t := range place.Peers {
+		p := &peer{s: s, terms: t, conns: map[session.Conn]*wire{}, timers: map[session.Timer]*loop.Timer{},
+			due: map[netip.Prefix]*announce.Path{}, sent: map[netip.Prefix]bool{}}
+		for _, a := range t.Allow {
+			p.allow.Insert(a)
+		}
+		p.session = session.New(session.Peer{OwnAS: place.AS, PeerAS: t.AS, ID: place.ID, Hold: t.Hold, Families: t.Families,
+			Passive: t.Passive, Restart: t.Restart})
+		s.peers = append(s.peers, p)
+	}
+	return s
+}
+
+// Start opens the listener and all sessions.
+func (s *Speaker) Start() error {
+	if s.place.Listen != "" {
+		var err error
+		if s.listener, err = s.loop.Listen(s.place.Listen, func() (loop.Handler, int) { return &wire{called: true, p: &peer{s: s}}, output },
+			func(error) {}); err != nil {
+			return err
+		}
+	}
+	names := make([]string, 0, len(s.place.Services))
+	for name := range s.place.Services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	var events []announce.Event
+	for _, name := range names {
+		events = append(events, announce.Offered{Name: name, Service: s.place.Services[name]})
+	}
+	s.Handle(events...)
+	for _, p := range s.peers {
+		p.handle(session.Start{})
+	}
+	return nil
+}
+
+// Addr is where peers may call.
+func (s *Speaker) Addr() string { return s.listener.Addr().String() }
+
+// Stop ends all sessions with a word.
+func (s *Speaker) Stop(why string) {
+	for _, p := range s.peers {
+		p.handle(session.Stop{Why: why})
+	}
+}
+
+// Offers tells whether a service has an address.
+func (s *Speaker) Offers(service string) bool {
+	_, ok := s.place.Services[service]
+	return ok
+}
+
+// Handle takes what happened to containers.
+func (s *Speaker) Handle(events ...announce.Event) {
+	changed := false
+	for _, a := range s.announce.Handle(placer.Time(s.loop.Now()), events) {
+		switch a := a.(type) {
+		case announce.Announce:
+			s.change(a.Prefix, &a.Path)
+			changed = true
+		case announce.Withdraw:
+			s.change(a.Prefix, nil)
+			changed = true
+		case announce.Wake:
+			s.loop.After(loop.Tick(a.After), func() { s.Handle(announce.Woke{}) })
+		case announce.Mode:
+			s.log.Info("route", "prefix", a.Prefix, "text", a.Text, "penalty", int(a.Penalty))
+		}
+	}
+	if changed {
+		for _, p := range s.peers {
+			p.drain()
+		}
+	}
+}
+
+// Whole says that all that runs is known: peers that kept routes over a restart may now drop the rest.
+func (s *Speaker) Whole() {
+	if s.whole {
+		return
+	}
+	s.whole = true
+	for _, p := range s.peers {
+		p.drain()
+	}
+}
+
+func (s *Speaker) change(prefix netip.Prefix, path *announce.Path) {
+	for _, p := range s.peers {
+		p.change(prefix, path)
+	}
+}
+
+// change notes what a peer is to be told of a prefix: a later change takes the place of an earlier one that is
+// still unsent, and a withdrawal of what was never told is none.
+func (p *peer) change(prefix netip.Prefix, path *announce.Path) {
+	if p.up == nil || !p.takes(prefix) {
+		return
+	}
+	if path == nil && !p.sent[prefix] {
+		delete(p.due, prefix)
+		return
+	}
+	p.due[prefix] = path
+}
+
+func (p *peer) takes(prefix netip.Prefix) bool {
+	if !p.allow.LookupPrefix(prefix) {
+		return false
+	}
+	for _, f := range p.up.Families {
+		if (f == bgp.IPv4) == prefix.Addr().Is4() {
+			return true
+		}
+	}
+	return false
+}
+
+// drain writes what is due, as long as the peer takes it. While it is behind, changes gather and are joined.
+func (p *peer) drain() {
+	if p.up == nil || p.conn == nil || p.filling != nil {
+		return
+	}
+	if p.conn.conn.Waiting() > enough {
+		p.filling = p.s.loop.After(drainAgain, func() {
+			p.filling = nil
+			p.drain()
+		})
+		return
+	}
+	type group struct {
+		path     announce.Path
+		prefixes []netip.Prefix
+	}
+	groups, gone := map[announce.Path]*group{}, []netip.Prefix(nil)
+	var order []*group
+	for prefix, path := range p.due {
+		if path == nil {
+			gone = append(gone, prefix)
+			delete(p.sent, prefix)
+			continue
+		}
+		g := groups[*path]
+		if g == nil {
+			g = &group{path: *path}
+			groups[*path] = g
+			order = append(order, g)
+		}
+		g.prefixes = append(g.prefixes, prefix)
+		p.sent[prefix] = true
+	}
+	clear(p.due)
+	sort.Slice(order, func(i, j int) bool { return less(order[i].path, order[j].path) })
+	updates := bgp.Pack(gone, nil, bgp.Path{})
+	for _, g := range order {
+		updates = append(updates, bgp.Pack(nil, g.prefixes, p.path(g.path))...)
+	}
+	for _, u := range updates {
+		p.write(u)
+	}
+	if p.ending && p.s.whole {
+		p.ending = false
+		for _, f := range p.up.Families {
+			p.write(bgp.EndOfRoutes(f))
+		}
+	}
+}
+
+func less(a, b announce.Path) bool {
+	if c := a.NextHop.Compare(b.NextHop); c != 0 {
+		return c < 0
+	}
+	if a.Preference != b.Preference {
+		return a.Preference > b.Preference
+	}
+	return a.MED < b.MED || a.MED == b.MED && a.Communities < b.Communities
+}
+
+// path is the path as this peer is told it: outside our AS with our number on it and no local preference.
+func (p *peer) path(a announce.Path) bgp.Path {
+	x := bgp.Path{NextHop: a.NextHop}
+	if p.terms.AS == p.s.place.AS {
+		x.LocalPref, x.HasPref = a.Preference, true
+	} else {
+		x.AS = []uint32{p.s.place.AS}
+	}
+	if a.MED > 0 {
+		x.MED, x.HasMED = a.MED, true
+	}
+	for c := a.Communities; len(c) >= 4; c = c[4:] {
+		x.Communities = append(x.Communities, uint32(c[0])<<24|uint32(c[1])<<16|uint32(c[2])<<8|uint32(c[3]))
+	}
+	return x
+}
+
+func (p *peer) write(m bgp.Message) {
+	if p.conn != nil {
+		p.conn.write(m)
+	}
+}
+
+func (w *wire) write(m bgp.Message) {
+	b, err := bgp.Append(nil, m)
+	if err != nil {
+		w.p.s.log.Error("message not sent", "peer", w.p.terms.Addr, "why", err)
+		return
+	}
+	if _, ok := m.(*bgp.Update); ok {
+		w.p.Updates++
+		w.p.Bytes += len(b)
+	}
+	if w.conn != nil && w.conn.Write(b) != nil {
+		w.p.s.loop.After(0, w.conn.Reset) // it takes so little that its hold time would end too
+	}
+}
+
+// handle carries out what the session decides on an event.
+func (p *peer) handle(e session.Event) {
+	for _, a := range p.session.Handle(e) {
+		switch a := a.(type) {
+		case session.Dial:
+			w := &wire{p: p, number: a.Conn}
+			p.conns[a.Conn] = w
+			w.conn = p.s.loop.Dial(p.terms.Addr, w, output, dialWithin)
+		case session.Send:
+			if w := p.conns[a.Conn]; w != nil {
+				w.write(a.Message)
+			}
+		case session.Close:
+			if w := p.conns[a.Conn]; w != nil {
+				w.gone = true
+				delete(p.conns, a.Conn)
+				w.conn.Close()
+			}
+		case session.Set:
+			p.s.loop.Cancel(p.timers[a.Timer])
+			p.timers[a.Timer] = p.s.loop.After(loop.Tick(a.After), func() { p.handle(session.Expired{Timer: a.Timer}) })
+		case session.Clear:
+			p.s.loop.Cancel(p.timers[a.Timer])
+		case session.Up:
+			p.begin(a)
+		case session.Down:
+			p.up, p.conn, p.Why = nil, nil, a.Why
+			p.Flaps++
+			clear(p.due)
+			clear(p.sent)
+			p.s.loop.Cancel(p.filling)
+			p.filling = nil
+		case session.Resend:
+			p.resend(a.Family)
+		case session.Mode:
+			p.s.log.Info("session", "peer", p.terms.Addr, "as", p.terms.AS, "text", a.Text)
+		}
+	}
+}
+
+// begin tells a peer all that stands.
+func (p *peer) begin(u session.Up) {
+	p.up, p.ending = &u, u.EndMark
+	for _, w := range p.conns {
+		if !w.gone {
+			p.conn = w
+		}
+	}
+	for _, a := range p.s.announce.Standing() {
+		p.change(a.Prefix, &a.Path)
+	}
+	p.drain()
+}
+
+func (p *peer) resend(f bgp.Family) {
+	for _, a := range p.s.announce.Standing() {
+		if (f == bgp.IPv4) == a.Prefix.Addr().Is4() {
+			p.change(a.Prefix, &a.Path)
+		}
+	}
+	p.drain()
+}
+
+// Opened hands a connection that a peer made to the session of its address and, where several have it, the first
+// that waits for one.
+func (w *wire) Opened(c *loop.Conn) {
+	w.conn = c
+	if !w.called {
+		w.p.handle(session.Opened{Conn: w.number})
+		return
+	}
+	s := w.p.s
+	from := c.Peer()
+	for _, p := range s.peers {
+		a, err := netip.ParseAddrPort(p.terms.Addr)
+		if err != nil || a.Addr() != from.Addr() || p.session.State() == session.Established && len(s.peers) > 1 {
+			continue
+		}
+		s.lastCall++
+		w.p, w.number = p, s.lastCall
+		p.conns[w.number] = w
+		p.handle(session.Opened{Conn: w.number, Called: true})
+		return
+	}
+	s.log.Warn("unknown peer turned away", "from", from)
+	c.Close()
+}
+
+func (w *wire) Read(_ *loop.Conn, b []byte) {
+	if w.gone {
+		return
+	}
+	w.part = append(w.part, b...)
+	for !w.gone {
+		n, err := bgp.Size(w.part)
+		if err == nil && (n == 0 || len(w.part) < n) {
+			return
+		}
+		var m bgp.Message
+		if err == nil {
+			m, err = bgp.Decode(w.part[:n])
+		}
+		var f *bgp.Fault
+		if errors.As(err, &f) {
+			w.p.handle(session.Broken{Conn: w.number, Fault: f})
+			return
+		}
+		w.part = append(w.part[:0], w.part[n:]...)
+		w.p.handle(session.Came{Conn: w.number, Message: m})
+	}
+}
+
+func (w *wire) Closed(_ *loop.Conn, _ error) {
+	if w.gone || w.number == 0 {
+		return
+	}
+	w.gone = true
+	delete(w.p.conns, w.number)
+	w.p.handle(session.Closed{Conn: w.number})
+}
+
+// Standing of one peer, for an operator.
+type Standing struct {
+	Addr                  string
+	AS                    uint32
+	State                 string
+	Routes, Due           int
+	Updates, Bytes, Flaps int
+	Why                   string
+}
+
+// Peers tells how the sessions stand.
+func (s *Speaker) Peers() (all []Standing) {
+	for _, p := range s.peers {
+		all = append(all, Standing{p.terms.Addr, p.terms.AS, p.session.State().String(), len(p.sent), len(p.due), p.Updates, p.Bytes,
+			p.Flaps, p.Why})
+	}
+	return all
+}
+
+// Why tells how a service's address stands.
+func (s *Speaker) Why(service string) (announce.Why, bool) { return s.announce.Why(service) }
