--- a/cmd/glenport-lab/main.go
+++ b/cmd/glenport-lab/main.go
@@ -17,6 +17,7 @@
 	"glenport/internal/lab"
 	"glenport/internal/sabotage"
 	"glenport/internal/site"
+	"glenport/internal/speaker"
 	"glenport/placer"
 
 	"github.com/spf13/cobra"
@@ -140,7 +141,7 @@
 
 // placerCommand runs a placer of the product's host, with or without one rule broken.
 func placerCommand() *cobra.Command {
-	var file string
+	var file, spoil string
 	var rule int
 	c := &cobra.Command{Use: "placer", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		s, err := site.Load(file)
@@ -157,6 +158,9 @@
 		if err != nil {
 			return err
 		}
+		if r := h.Routes(); r != nil && spoil != "" {
+			r.Around(func(d speaker.Decider) speaker.Decider { return sabotage.Routes(spoil, d) })
+		}
 		told := make(chan os.Signal, 1)
 		signal.Notify(told, syscall.SIGINT, syscall.SIGTERM)
 		go func() { <-told; h.Stop() }()
@@ -165,6 +169,7 @@
 	}}
 	c.Flags().StringVarP(&file, "config", "c", "", "the placer's file")
 	c.Flags().IntVar(&rule, "sabotage", 0, "rule to break")
+	c.Flags().StringVar(&spoil, "spoil-routes", "", "late or storm")
 	return c
 }
 
@@ -205,6 +210,50 @@
 	why.Flags().IntVar(&cycles, "cycles", 50, "of draining and filling, four changes each")
 	why.Flags().IntVar(&steps, "steps", 0, "play the first so many steps only; 0: all")
 	why.Flags().BoolVar(&lie, "sabotage", false, "read another reason than the API tells")
-	trial.AddCommand(why)
+	trial.AddCommand(why, bgpTrialCommand())
 	return trial
 }
+
+func bgpTrialCommand() *cobra.Command {
+	var dir, spoil string
+	var rounds int
+	c := &cobra.Command{Use: "bgp", Short: "Addresses are announced while containers run, in time and without storms", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			program, err := placerProgram(0)
+			if err != nil {
+				return err
+			}
+			if spoil != "" {
+				own, err := os.Executable()
+				if err != nil {
+					return err
+				}
+				program = []string{own, "placer", "--spoil-routes", spoil}
+			}
+			d, err := lab.LoadDay("days/why.yaml")
+			if err != nil {
+				return err
+			}
+			dir, done, err := folder(dir)
+			if err != nil {
+				return err
+			}
+			defer done()
+			t := &lab.BGPTrial{Rounds: rounds, Out: os.Stdout}
+			ok, err := t.Run(d, dir, program)
+			if err != nil {
+				fmt.Printf("trial bgp: FAILED %v\n", err)
+				return errNotHeld
+			}
+			if !ok {
+				fmt.Println("trial bgp: FAILED a peer was told too late, too often or what was not so")
+				return errNotHeld
+			}
+			fmt.Println("trial bgp: ok")
+			return nil
+		}}
+	c.Flags().StringVar(&dir, "dir", "", "folder to keep the logs in")
+	c.Flags().IntVar(&rounds, "rounds", 10, "of fifty ends each")
+	c.Flags().StringVar(&spoil, "sabotage", "", "late or storm: withdrawals come late, or every change is told at once")
+	return c
+}
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -114,6 +114,9 @@
 	return h, nil
 }
 
+// Routes is the speaker; nil where no address is announced.
+func (h *Host) Routes() *speaker.Speaker { return h.routes }
+
 // Addr is where owners call.
 func (h *Host) Addr() string { return h.door.Addr().String() }
 
--- /dev/null
+++ b/internal/lab/bgp.go
@@ -0,0 +1,439 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"glenport/internal/link"
+	"glenport/internal/standin"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// BGPTrial brings up a cluster whose placer announces addresses to two stand-in peers, and judges by what they
+// received.
+type BGPTrial struct {
+	Rounds int
+	Out    io.Writer
+
+	cluster *Cluster
+	peers   []*standin.BGPPeer
+	door    net.Conn
+	mu      sync.Mutex
+	answers map[string]chan *link.Answer
+	ended   map[string]time.Time // by the machines' own clocks
+	next    int
+	missed  []string
+}
+
+const (
+	bgpServices  = 50
+	withdrawn    = 2 * time.Second
+	betweenTold  = time.Second
+	roomOfClocks = 30 * time.Millisecond // between a peer's reading and the placer's writing
+)
+
+func bgpPrefix(i int) netip.Prefix { return netip.MustParsePrefix(fmt.Sprintf("198.51.100.%d/32", i)) }
+
+// Run plays the trial and tells whether all held.
+func (t *BGPTrial) Run(day *Day, dir string, program []string) (ok bool, err error) {
+	t.answers, t.ended = map[string]chan *link.Answer{}, map[string]time.Time{}
+	var peers []any
+	for i := range 2 {
+		p := &standin.BGPPeer{AS: 65000, ID: [4]byte{192, 0, 2, byte(250 + i)}, Hold: 3 * time.Second, Helps: 10 * time.Second, Journal: true}
+		addr, err := p.Open()
+		if err != nil {
+			return false, err
+		}
+		defer p.Close()
+		t.peers = append(t.peers, p)
+		peers = append(peers, map[string]any{"address": addr, "as": 65000, "hold": "3s", "keep_routes_for": "10s",
+			"allow": []any{"198.51.100.0/24"}})
+	}
+	var services []any
+	for i := range bgpServices {
+		services = append(services, map[string]any{"service": fmt.Sprint("web-", i), "prefix": bgpPrefix(i).String(), "next_hop": "192.0.2.5"})
+	}
+	day.Placers = 1
+	day.Extra = map[string]any{"bgp": map[string]any{"as": 65001, "identifier": "192.0.2.5", "peers": peers, "services": services}}
+	if t.cluster, err = Bring(day, dir, program); err != nil {
+		return false, err
+	}
+	defer t.cluster.Close()
+	for _, m := range t.cluster.Machines {
+		m.OnEnd = func(c string, at time.Time) {
+			t.mu.Lock()
+			t.ended[c] = at
+			t.mu.Unlock()
+		}
+	}
+	if err := t.until("both sessions stand", func() bool { return t.peers[0].Up() && t.peers[1].Up() }); err != nil {
+		return false, err
+	}
+	if err := t.call(); err != nil {
+		return false, err
+	}
+	defer func() { t.door.Close() }()
+	for _, step := range []struct {
+		name string
+		play func() (string, error)
+	}{{"ends", t.ends}, {"a container that flaps 50 times a second", t.flap}, {"drain first as the last choice", t.drain},
+		{"reset while the last container fails", t.resetAndFail}, {"garbage, half a message, silence, another AS", t.misbehave},
+		{"placer killed -9 and back", t.killed}} {
+		before := len(t.missed)
+		figures, err := step.play()
+		if err != nil {
+			return false, fmt.Errorf("%s: %w", step.name, err)
+		}
+		fmt.Fprintf(t.Out, "%-46s %s, %d missed\n", step.name, figures, len(t.missed)-before)
+	}
+	for i, m := range t.missed {
+		if i < 5 {
+			fmt.Fprintln(t.Out, "missed:", m)
+		}
+	}
+	return len(t.missed) == 0, nil
+}
+
+func (t *BGPTrial) miss(format string, a ...any) {
+	t.missed = append(t.missed, fmt.Sprintf(format, a...))
+}
+
+func (t *BGPTrial) until(what string, holds func() bool) error {
+	for end := time.Now().Add(20 * time.Second); !holds(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			return fmt.Errorf("not in 20 s: %s", what)
+		}
+	}
+	return nil
+}
+
+// call opens a link to the placer's door and reads answers.
+func (t *BGPTrial) call() (err error) {
+	if t.door, err = net.Dial("tcp", t.cluster.Placers[0].Door); err != nil {
+		return err
+	}
+	c := t.door
+	t.send(link.Greeting(link.Owner, "trial", uint64(time.Now().UnixMicro())))
+	go func() {
+		for {
+			f, err := link.Read(c, link.MostFrame)
+			if err != nil {
+				return
+			}
+			if a, ok := f.(*link.Answer); ok {
+				t.mu.Lock()
+				ch := t.answers[a.Container]
+				delete(t.answers, a.Container)
+				t.mu.Unlock()
+				if ch != nil {
+					ch <- a
+				}
+			}
+		}
+	}()
+	return nil
+}
+
+func (t *BGPTrial) send(f link.Frame) {
+	p, err := link.Append(nil, f)
+	if err != nil {
+		panic(err)
+	}
+	t.door.Write(p)
+}
+
+// run starts a container of a service and waits for the placer's yes.
+func (t *BGPTrial) run(service int, life time.Duration) (id, machine string, err error) {
+	t.mu.Lock()
+	t.next++
+	id = fmt.Sprint("c", t.next)
+	ch := make(chan *link.Answer, 1)
+	t.answers[id] = ch
+	t.mu.Unlock()
+	t.send(&link.Submit{Left: 40000, Work: link.Work{Container: id, Key: id, Service: fmt.Sprint("web-", service), Cores: 0.1, Memory: 0.1,
+		RunFor: link.Span(life.Microseconds() / 100)}})
+	select {
+	case a := <-ch:
+		if a.Verdict != link.Placed {
+			return id, "", fmt.Errorf("%s was %s", id, a.Verdict)
+		}
+		return id, a.Machine, nil
+	case <-time.After(6 * time.Second):
+		return id, "", fmt.Errorf("%s was not answered", id)
+	}
+}
+
+func (t *BGPTrial) endOf(id string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ended[id]
+}
+
+// ends lets the last container behind each address end again and again, and measures until both peers are told.
+func (t *BGPTrial) ends() (string, error) {
+	took, n, updates := hdrhistogram.New(1, 60_000, 3), 0, 0
+	for range t.Rounds {
+		ids := make([]string, bgpServices)
+		var all sync.WaitGroup
+		errs := make(chan error, bgpServices)
+		for i := range bgpServices {
+			all.Go(func() {
+				var err error
+				if ids[i], _, err = t.run(i, time.Duration(1200+i*13)*time.Millisecond); err != nil {
+					errs <- err
+				}
+			})
+		}
+		all.Wait()
+		select {
+		case err := <-errs:
+			return "", err
+		default:
+		}
+		for i, id := range ids {
+			if err := t.until("the container ends", func() bool { return !t.endOf(id).IsZero() }); err != nil {
+				return "", err
+			}
+			for k, p := range t.peers {
+				if err := t.until(fmt.Sprintf("peer %d is told that %s is gone", k, bgpPrefix(i)), func() bool { has, _ := p.Has(bgpPrefix(i)); return !has }); err != nil {
+					return "", err
+				}
+			}
+		}
+		for k, p := range t.peers {
+			for _, x := range p.Told() {
+				updates++
+				if !x.Gone {
+					continue
+				}
+				late := x.At.Sub(t.endOf(ids[x.Prefix.Addr().As4()[3]]))
+				n++
+				took.RecordValue(max(1, late.Milliseconds()))
+				if late > withdrawn {
+					t.miss("peer %d was told that %s is gone %v after its last container's end", k, x.Prefix, late)
+				}
+			}
+		}
+	}
+	if n < t.Rounds*bgpServices*len(t.peers) {
+		t.miss("%d withdrawals for %d ends at %d peers", n, t.Rounds*bgpServices, len(t.peers))
+	}
+	return fmt.Sprintf("%d ends at %d peers, withdrawn after p50 %d ms, p99 %d ms, worst %d ms; %.1f updates an end and peer",
+		t.Rounds*bgpServices, len(t.peers), took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max(),
+		float64(updates)/float64(t.Rounds*bgpServices*len(t.peers))), nil
+}
+
+// flap starts and ends containers of one service fifty times a second for eight seconds.
+func (t *BGPTrial) flap() (string, error) {
+	const flaps = 400
+	for _, p := range t.peers {
+		p.Told()
+	}
+	began := time.Now()
+	for i := range flaps {
+		time.Sleep(time.Until(began.Add(time.Duration(i) * 20 * time.Millisecond)))
+		go t.run(0, 10*time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	worst, n := time.Hour, 0
+	for k, p := range t.peers {
+		var last time.Time
+		for _, x := range p.Told() {
+			if x.Prefix != bgpPrefix(0) {
+				continue
+			}
+			n++
+			if gap := x.At.Sub(last); !last.IsZero() {
+				worst = min(worst, gap)
+				if gap < betweenTold-roomOfClocks {
+					t.miss("peer %d was told of %s twice within %v", k, x.Prefix, gap)
+				}
+			}
+			last = x.At
+		}
+		if has, _ := p.Has(bgpPrefix(0)); has {
+			t.miss("peer %d still has the route of a service without a container", k)
+		}
+	}
+	return fmt.Sprintf("%d starts, %.1f updates a peer, none within %d ms of another", flaps, float64(n)/float64(len(t.peers)), worst.Milliseconds()), nil
+}
+
+// drain marks the machine of a lone container as draining: it must become the last choice before it is gone.
+func (t *BGPTrial) drain() (string, error) {
+	const service = 1
+	id, machine, err := t.run(service, time.Hour)
+	if err != nil {
+		return "", err
+	}
+	for _, p := range t.peers {
+		if err := t.until("it is announced", func() bool { has, _ := p.Has(bgpPrefix(service)); return has }); err != nil {
+			return "", err
+		}
+		p.Told()
+	}
+	began := time.Now()
+	for _, m := range t.cluster.Machines {
+		if m.Name == machine {
+			t.cluster.List.Mark(m, link.Draining)
+			defer t.cluster.List.Mark(m, link.Serving)
+		}
+	}
+	for k, p := range t.peers {
+		shut := false
+		if err := t.until("the peer hears of the drain", func() bool {
+			for _, x := range p.Told() {
+				shut = shut || x.Prefix == bgpPrefix(service) && x.Shut && !x.Gone
+			}
+			return shut
+		}); err != nil {
+			t.miss("peer %d: %v", k, err)
+		}
+	}
+	took := time.Since(began)
+	t.send(&link.Cancel{Container: id})
+	for _, p := range t.peers {
+		if err := t.until("it is gone", func() bool { has, _ := p.Has(bgpPrefix(service)); return !has }); err != nil {
+			return "", err
+		}
+	}
+	return fmt.Sprintf("told %d ms after the operator's word", took.Milliseconds()), nil
+}
+
+// resetAndFail resets a session in the moment in which the machine of the last container dies. When the session is
+// back the route must not be there.
+func (t *BGPTrial) resetAndFail() (string, error) {
+	const service, tries = 2, 5
+	worst := time.Duration(0)
+	for range tries {
+		id, machine, err := t.run(service, time.Hour)
+		if err != nil {
+			return "", err
+		}
+		for _, p := range t.peers {
+			if err := t.until("it is announced", func() bool { has, _ := p.Has(bgpPrefix(service)); return has }); err != nil {
+				return "", err
+			}
+		}
+		_, before, _, _, _ := t.peers[0].Figures()
+		for _, m := range t.cluster.Machines {
+			if m.Name == machine {
+				go t.peers[0].Reset()
+				m.Crash()
+				defer m.Up(true)
+			}
+		}
+		if err := t.until("the session is back", func() bool { _, n, _, _, _ := t.peers[0].Figures(); return n > before && t.peers[0].Up() }); err != nil {
+			return "", err
+		}
+		for k, p := range t.peers {
+			if err := t.until("the route is gone", func() bool { has, _ := p.Has(bgpPrefix(service)); return !has }); err != nil {
+				t.miss("peer %d: %v", k, err)
+				continue
+			}
+			late := time.Since(t.endOf(id))
+			worst = max(worst, late)
+			if k == 1 && late > withdrawn { // the one whose session stood
+				t.miss("peer %d was told %v after the machine died", k, late)
+			}
+		}
+	}
+	return fmt.Sprintf("%d times, the route gone at most %d ms after the machine's death", tries, worst.Milliseconds()), nil
+}
+
+// misbehave plays a peer that breaks the protocol: the session ends and comes back, the other peer is not touched.
+func (t *BGPTrial) misbehave() (string, error) {
+	const service = 3
+	id, _, err := t.run(service, time.Hour)
+	if err != nil {
+		return "", err
+	}
+	bad, good := t.peers[0], t.peers[1]
+	if err := t.until("it is announced", func() bool {
+		a, _ := bad.Has(bgpPrefix(service))
+		b, _ := good.Has(bgpPrefix(service))
+		return a && b
+	}); err != nil {
+		return "", err
+	}
+	_, stood, _, _, _ := good.Figures()
+	for _, do := range []struct {
+		name string
+		f    func()
+		over func()
+	}{{"garbage", bad.Garble, func() {}}, {"half a message, then silence", func() { bad.Half(); bad.Silence(true) }, func() { bad.Silence(false) }},
+		{"silence", func() { bad.Silence(true) }, func() { bad.Silence(false) }},
+		{"another AS", func() { bad.WrongAS(true); bad.Reset(); time.Sleep(2 * time.Second) }, func() { bad.WrongAS(false) }}} {
+		_, before, _, _, _ := bad.Figures()
+		do.f()
+		if err := t.until(do.name+" ends the session", func() bool { _, n, _, _, _ := bad.Figures(); return !bad.Up() || n > before }); err != nil {
+			return "", err
+		}
+		do.over()
+		if err := t.until("the session is back and whole", func() bool {
+			has, stale := bad.Has(bgpPrefix(service))
+			return bad.Up() && has && !stale
+		}); err != nil {
+			return "", fmt.Errorf("%s: %w", do.name, err)
+		}
+	}
+	if _, n, _, _, _ := good.Figures(); n != stood {
+		t.miss("the other peer's session was touched")
+	}
+	t.send(&link.Cancel{Container: id})
+	return "each ends its session, which comes back whole; the other stands", t.until("it is gone", func() bool {
+		a, _ := bad.Has(bgpPrefix(service))
+		b, _ := good.Has(bgpPrefix(service))
+		return !a && !b
+	})
+}
+
+// killed kills the placer for good while containers of two services run; one ends meanwhile. When the placer is
+// back the live one's route must never have gone, and the other's must go.
+func (t *BGPTrial) killed() (string, error) {
+	const lives, dies = 4, 5
+	if _, _, err := t.run(lives, time.Hour); err != nil {
+		return "", err
+	}
+	id, _, err := t.run(dies, 1500*time.Millisecond)
+	if err != nil {
+		return "", err
+	}
+	for _, p := range t.peers {
+		if err := t.until("both are announced", func() bool {
+			a, _ := p.Has(bgpPrefix(lives))
+			b, _ := p.Has(bgpPrefix(dies))
+			return a && b
+		}); err != nil {
+			return "", err
+		}
+		p.Told()
+	}
+	t.cluster.Kill(t.cluster.Placers[0])
+	if err := t.until("one ends meanwhile", func() bool { return !t.endOf(id).IsZero() }); err != nil {
+		return "", err
+	}
+	began := time.Now()
+	if err := t.cluster.Up(t.cluster.Placers[0]); err != nil {
+		return "", err
+	}
+	for k, p := range t.peers {
+		if err := t.until("the dead one's route is gone and the live one's fresh", func() bool {
+			has, stale := p.Has(bgpPrefix(lives))
+			dead, _ := p.Has(bgpPrefix(dies))
+			return has && !stale && !dead
+		}); err != nil {
+			t.miss("peer %d: %v", k, err)
+		}
+		for _, x := range p.Told() {
+			if x.Prefix == bgpPrefix(lives) && x.Gone {
+				t.miss("peer %d lost the route of a service that ran all the while", k)
+			}
+		}
+	}
+	return fmt.Sprintf("routes right again %d ms after its start, the live one never gone", time.Since(began).Milliseconds()), nil
+}
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -152,11 +152,14 @@
 }
 
 // placerFile writes one placer's file after a template.
-func placerFile(template []byte, path string, set map[string]any) (*site.Placer, error) {
+func placerFile(template []byte, path string, extra, set map[string]any) (*site.Placer, error) {
 	var all map[string]any
 	if err := yaml.Unmarshal(template, &all); err != nil {
 		return nil, err
 	}
+	for k, v := range extra {
+		all[k] = v
+	}
 	for k, v := range set {
 		if m, ok := v.(map[string]any); ok {
 			old, _ := all[k].(map[string]any)
@@ -237,7 +240,7 @@
 		if p.log, err = os.Create(filepath.Join(dir, p.Name+".log")); err != nil {
 			return nil, err
 		}
-		if _, err = placerFile(template, p.file, map[string]any{"name": p.Name, "number": i, "placers": d.Placers,
+		if _, err = placerFile(template, p.file, d.Extra, map[string]any{"name": p.Name, "number": i, "placers": d.Placers,
 			"seed": int(d.Seed) + i, "door": p.Door, "keep": filepath.Join(dir, p.Name+".list"),
 			"list": map[string]any{"address": listTap}}); err != nil {
 			return nil, err
--- a/internal/lab/day.go
+++ b/internal/lab/day.go
@@ -34,6 +34,7 @@
 	DrainGrace placer.Time
 	Slack      placer.Time
 	Troubles   []Trouble
+	Extra      map[string]any // sections that every placer's file gets
 }
 
 type kindCount struct {
--- a/internal/speaker/speaker.go
+++ b/internal/speaker/speaker.go
@@ -25,6 +25,13 @@
 	drainAgain = 20 * loop.Millisecond
 )
 
+// Decider is announce.Announcer, or what the laboratory puts around it.
+type Decider interface {
+	Handle(now placer.Time, events []announce.Event) []announce.Action
+	Standing() []announce.Announce
+	Why(service string) (announce.Why, bool)
+}
+
 // Place is what a speaker is told.
 type Place struct {
 	AS       uint32
@@ -51,11 +58,10 @@
 	log      *slog.Logger
 	loop     *loop.Loop
 	listener *loop.Listener
-	announce *announce.Announcer
+	announce Decider
 	peers    []*peer
 	lastCall session.Conn
 	whole    bool // all that runs is known: ends of routes may be marked
-	told     []announce.Event
 }
 
 // peer is the host's side of one session.
@@ -103,6 +109,9 @@
 	return s
 }
 
+// Around puts something around the decisions, before Start.
+func (s *Speaker) Around(f func(Decider) Decider) { s.announce = f(s.announce) }
+
 // Start opens the listener and all sessions.
 func (s *Speaker) Start() error {
 	if s.place.Listen != "" {
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -83,6 +83,7 @@
 type Machine struct {
 	Shape
 	Group *Group
+	OnEnd func(container string, at time.Time) // of one that ran; may be nil
 	addr  string
 
 	mu      sync.Mutex
@@ -255,6 +256,9 @@
 	}
 	for _, r := range m.runs {
 		r.over = true
+		if r.running && m.OnEnd != nil {
+			m.OnEnd(r.work.Container, time.Now())
+		}
 		m.Group.free(r, r.running)
 	}
 	m.callers, m.runs, m.serving = map[string]*caller{}, map[runID]*run{}, map[string]int{}
@@ -682,6 +686,9 @@
 		m.asked.cores -= r.work.Cores
 		m.asked.memory -= r.work.Memory
 		if r.running {
+			if m.OnEnd != nil {
+				m.OnEnd(r.work.Container, time.Now())
+			}
 			if m.serving[r.work.Service]--; m.serving[r.work.Service] <= 0 {
 				delete(m.serving, r.work.Service)
 			}
