--- a/cmd/glenport-lab/load.go
+++ b/cmd/glenport-lab/load.go
@@ -74,7 +74,20 @@
 		}}
 	kept.Flags().IntVar(&fleet, "machines", 100, "how many machines")
 	kept.Flags().IntVar(&keptRate, "rate", 300, "jobs a second")
-	c.AddCommand(api, kept)
+	var prefixes int
+	var peers []int
+	bgp := &cobra.Command{Use: "bgp", Short: "Measure a speaker with many prefixes and peers", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			for _, n := range peers {
+				if err := lab.MeasureBGP(prefixes, n, os.Stdout); err != nil {
+					return err
+				}
+			}
+			return nil
+		}}
+	bgp.Flags().IntVar(&prefixes, "prefixes", 100_000, "how many prefixes")
+	bgp.Flags().IntSliceVar(&peers, "peers", []int{1, 10, 50}, "how many peers")
+	c.AddCommand(api, kept, bgp)
 	c.Flags().IntSliceVar(&machines, "machines", []int{10, 100, 1000}, "how many machines")
 	c.Flags().IntSliceVar(&rates, "rates", []int{300, 3000}, "submissions a second")
 	c.Flags().DurationVar(&length, "length", 10*time.Second, "of each measurement")
--- a/internal/host/door.go
+++ b/internal/host/door.go
@@ -119,6 +119,8 @@
 		h.cancel(o, f)
 	case *link.AskWhy:
 		o.write(h.explain(f))
+	case *link.AskRoutes:
+		o.write(h.routesFor(f.Service))
 	case *link.AskStatus:
 		o.write(h.status())
 	case *link.Message:
@@ -162,6 +164,31 @@
 		NoRoomShare: x.NoRoomShare, ListAge: w.ListAge}
 }
 
+// routesFor tells how announcements stand.
+func (h *Host) routesFor(service string) *link.Routes {
+	out := &link.Routes{}
+	if h.routes == nil {
+		return out
+	}
+	for _, p := range h.routes.Peers() {
+		out.Peers = append(out.Peers, link.RoutePeer{Addr: p.Addr, AS: p.AS, State: p.State, Routes: p.Routes, Due: p.Due, Updates: p.Updates,
+			Bytes: p.Bytes, Ends: p.Flaps, Why: p.Why})
+	}
+	for _, name := range h.routes.Services() {
+		if service != "" && name != service {
+			continue
+		}
+		w, _ := h.routes.Why(name)
+		r := link.RouteOf{Service: name, Prefix: h.site.BGP.Services[name].Prefix.String(), Announced: w.Announced,
+			Preference: w.Path.Preference, Running: w.Running, Draining: w.Draining, Least: w.Least, Penalty: w.Penalty, Suppressed: w.Suppressed}
+		if w.NextUpdate > 0 {
+			r.Next = max(0, link.Span(w.NextUpdate-placer.Time(h.loop.Now())))
+		}
+		out.Services = append(out.Services, r)
+	}
+	return out
+}
+
 // send reaches an owner by its number.
 func (h *Host) send(to custody.Caller, f link.Frame) {
 	if o := h.owners[to]; o != nil {
--- a/internal/link/frames.go
+++ b/internal/link/frames.go
@@ -328,6 +328,45 @@
 		ListAge     Span // since the list was last heard; below 0: never
 	}
 
+	// AskRoutes asks how the announcements of addresses stand; a Routes answers.
+	AskRoutes struct {
+		_       struct{} `cbor:",toarray"`
+		Service string   // empty: all
+	}
+
+	Routes struct {
+		_        struct{} `cbor:",toarray"`
+		Peers    []RoutePeer
+		Services []RouteOf
+	}
+
+	RoutePeer struct {
+		_       struct{} `cbor:",toarray"`
+		Addr    string
+		AS      uint32
+		State   string
+		Routes  int
+		Due     int
+		Updates int
+		Bytes   int
+		Ends    int // sessions that ended
+		Why     string
+	}
+
+	RouteOf struct {
+		_          struct{} `cbor:",toarray"`
+		Service    string
+		Prefix     string
+		Announced  bool
+		Preference uint32
+		Running    int
+		Draining   int
+		Least      int
+		Penalty    float64
+		Suppressed bool
+		Next       Span // until a change that waits for its pace; 0: none does
+	}
+
 	// Bye tells why a link is about to be closed.
 	Bye struct {
 		_    struct{} `cbor:",toarray"`
@@ -349,6 +388,7 @@
 	19: func() Frame { return new(Message) }, 20: func() Frame { return new(AskStatus) },
 	21: func() Frame { return new(Status) }, 22: func() Frame { return new(Bye) },
 	23: func() Frame { return new(AskWhy) }, 24: func() Frame { return new(Why) },
+	25: func() Frame { return new(AskRoutes) }, 26: func() Frame { return new(Routes) },
 }
 
 func (*Hello) sort() byte     { return 1 }
@@ -375,6 +415,8 @@
 func (*Bye) sort() byte       { return 22 }
 func (*AskWhy) sort() byte    { return 23 }
 func (*Why) sort() byte       { return 24 }
+func (*AskRoutes) sort() byte { return 25 }
+func (*Routes) sort() byte    { return 26 }
 
 // longest of any name on the wire, in bytes, and the furthest span: a year.
 const (
@@ -605,3 +647,5 @@
 func (*Beat) check() error      { return nil }
 func (*AskStatus) check() error { return nil }
 func (*Bye) check() error       { return nil }
+func (*AskRoutes) check() error { return nil }
+func (*Routes) check() error    { return nil }
--- a/internal/speaker/speaker.go
+++ b/internal/speaker/speaker.go
@@ -23,6 +23,7 @@
 	dialWithin = 5 * loop.Second
 	calledFrom = 1_000_000 // numbers of connections that peers made
 	drainAgain = 20 * loop.Millisecond
+	atOnce     = 4000 // changes told to one peer in a turn: the loop has other work
 )
 
 // Decider is announce.Announcer, or what the laboratory puts around it.
@@ -121,13 +122,8 @@
 			return err
 		}
 	}
-	names := make([]string, 0, len(s.place.Services))
-	for name := range s.place.Services {
-		names = append(names, name)
-	}
-	sort.Strings(names)
 	var events []announce.Event
-	for _, name := range names {
+	for _, name := range s.Services() {
 		events = append(events, announce.Offered{Name: name, Service: s.place.Services[name]})
 	}
 	s.Handle(events...)
@@ -147,6 +143,16 @@
 	}
 }
 
+// Services are the names of those that have an address, in order.
+func (s *Speaker) Services() []string {
+	names := make([]string, 0, len(s.place.Services))
+	for name := range s.place.Services {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Offers tells whether a service has an address.
 func (s *Speaker) Offers(service string) bool {
 	_, ok := s.place.Services[service]
@@ -237,7 +243,12 @@
 	}
 	groups, gone := map[announce.Path]*group{}, []netip.Prefix(nil)
 	var order []*group
+	taken := 0
 	for prefix, path := range p.due {
+		if taken++; taken > atOnce {
+			break
+		}
+		delete(p.due, prefix)
 		if path == nil {
 			gone = append(gone, prefix)
 			delete(p.sent, prefix)
@@ -252,7 +263,6 @@
 		g.prefixes = append(g.prefixes, prefix)
 		p.sent[prefix] = true
 	}
-	clear(p.due)
 	sort.Slice(order, func(i, j int) bool { return less(order[i].path, order[j].path) })
 	updates := bgp.Pack(gone, nil, bgp.Path{})
 	for _, g := range order {
@@ -261,6 +271,13 @@
 	for _, u := range updates {
 		p.write(u)
 	}
+	if len(p.due) > 0 {
+		p.filling = p.s.loop.After(0, func() {
+			p.filling = nil
+			p.drain()
+		})
+		return
+	}
 	if p.ending && p.s.whole {
 		p.ending = false
 		for _, f := range p.up.Families {
--- a/internal/standin/bgppeer.go
+++ b/internal/standin/bgppeer.go
@@ -26,7 +26,6 @@
 	ID      [4]byte
 	Hold    time.Duration
 	Helps   time.Duration // for how long routes stay when a session that agreed on it ends
-	SlowBy  time.Duration // before each read
 	Journal bool          // keep all that was told, not only the table
 
 	mu       sync.Mutex
@@ -39,6 +38,7 @@
 	messages int
 	bytes    int
 	silent   bool
+	slowBy   time.Duration // before each read
 	wrongAS  bool
 	expiry   *time.Timer
 	working  sync.WaitGroup
@@ -94,7 +94,10 @@
 	})
 }
 func (p *BGPPeer) Silence(on bool) { p.set(func() { p.silent = on }) }
-func (p *BGPPeer) WrongAS(on bool) { p.set(func() { p.wrongAS = on }) }
+
+// SetSlow makes it wait so long before each message that it reads.
+func (p *BGPPeer) SetSlow(by time.Duration) { p.set(func() { p.slowBy = by }) }
+func (p *BGPPeer) WrongAS(on bool)          { p.set(func() { p.wrongAS = on }) }
 
 func (p *BGPPeer) set(f func()) {
 	p.mu.Lock()
@@ -211,9 +214,9 @@
 	})
 	shut := false
 	for {
-		if p.SlowBy > 0 {
-			time.Sleep(p.SlowBy)
-		}
+		slow := time.Duration(0)
+		p.set(func() { slow = p.slowBy })
+		time.Sleep(slow)
 		m, n, err := read(c)
 		if err != nil {
 			break
