--- a/internal/site/bgp.go
+++ b/internal/site/bgp.go
@@ -7,9 +7,29 @@
 	"glenport/internal/announce"
 	"glenport/internal/bgp"
 	"glenport/internal/settings"
-	"glenport/internal/speaker"
+	"glenport/placer"
 )
 
+// Announcing is what a placer is told of addresses to announce.
+type Announcing struct {
+	AS       uint32
+	ID       [4]byte
+	Listen   string // empty: peers do not call
+	Peers    []Neighbour
+	Services map[string]announce.Service
+}
+
+// Neighbour is one peer. What is not allowed is not announced to it (RFC 8212).
+type Neighbour struct {
+	Addr     string
+	AS       uint32
+	Hold     placer.Time
+	Families []bgp.Family
+	Passive  bool
+	Restart  placer.Time
+	Allow    []netip.Prefix
+}
+
 type bgpFile struct {
 	AS       settings.Count `yaml:"as"`
 	ID       settings.Word  `yaml:"identifier"`
@@ -62,12 +82,12 @@
 }
 
 // bgp checks the section on addresses to announce.
-func (c *check) bgp(f *bgpFile) *speaker.Place {
+func (c *check) bgp(f *bgpFile) *Announcing {
 	c.needed("bgp", *f)
 	if c.fault != nil {
 		return nil
 	}
-	s := &speaker.Place{AS: c.as(f.AS), Services: map[string]announce.Service{}}
+	s := &Announcing{AS: c.as(f.AS), Services: map[string]announce.Service{}}
 	if id := c.host(f.ID); id.Is4() && !id.IsUnspecified() {
 		s.ID = id.As4()
 	} else {
@@ -79,7 +99,7 @@
 	for i, p := range f.Peers {
 		path := fmt.Sprintf("bgp.peers[%d]", i)
 		c.needed(path, p)
-		x := speaker.Peer{Addr: c.address(p.Addr), AS: c.as(p.AS), Hold: c.span(p.Hold), Restart: c.span(p.Restart), Passive: p.Passive.Value}
+		x := Neighbour{Addr: c.address(p.Addr), AS: c.as(p.AS), Hold: c.span(p.Hold), Restart: c.span(p.Restart), Passive: p.Passive.Value}
 		if h := p.Hold.Tenths / 10_000; p.Hold.Tenths%10_000 != 0 || h == 1 || h == 2 || h > 65535 {
 			c.fail(p.Hold.Place, "a hold time is 0 or whole seconds from 3 to 65535")
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -10,7 +10,6 @@
 	"glenport/internal/custody"
 	"glenport/internal/loop"
 	"glenport/internal/settings"
-	"glenport/internal/speaker"
 	"glenport/placer"
 )
 
@@ -30,7 +29,7 @@
 	Kinds     []string // their names, in the order of the terms
 	Workloads []string
 	Customers []string
-	BGP       *speaker.Place // nil where no address is announced
+	BGP       *Announcing // nil where no address is announced
 }
 
 type file struct {
--- a/internal/speaker/speaker.go
+++ b/internal/speaker/speaker.go
@@ -12,6 +12,7 @@
 	"glenport/internal/bgp"
 	"glenport/internal/loop"
 	"glenport/internal/session"
+	"glenport/internal/site"
 	"glenport/placer"
 
 	"github.com/gaissmai/bart"
@@ -33,25 +34,11 @@
 	Why(service string) (announce.Why, bool)
 }
 
-// Place is what a speaker is told.
-type Place struct {
-	AS       uint32
-	ID       [4]byte
-	Listen   string // empty: peers do not call
-	Peers    []Peer
-	Services map[string]announce.Service
-}
-
-// Peer is one neighbour. What is not allowed is not announced to it (RFC 8212).
-type Peer struct {
-	Addr     string
-	AS       uint32
-	Hold     placer.Time
-	Families []bgp.Family
-	Passive  bool
-	Restart  placer.Time
-	Allow    []netip.Prefix
-}
+// Place and Peer are what the placer's file says of announcing.
+type (
+	Place = site.Announcing
+	Peer  = site.Neighbour
+)
 
 // Speaker is a running one.
 type Speaker struct {
