Signed sessions, metrics, and machines behind a cut are asked until they tell

Need: peers that want TCP MD5; figures to scrape; a container that ran on behind a cut was never heard of again unless something else called its machine.

--- a/cmd/glenport/main.go
+++ b/cmd/glenport/main.go
@@ -5,12 +5,14 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
 	"syscall"
 
 	"glenport/internal/host"
+	"glenport/internal/metrics"
 	"glenport/internal/site"
 	"glenport/placer"
 
@@ -53,6 +55,15 @@
 			if err != nil {
 				return err
 			}
+			if s.Metrics != "" {
+				server := metrics.Serve(s.Metrics, h)
+				go func() {
+					if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+						log.Error("no metrics", "why", err)
+					}
+				}()
+				defer server.Close()
+			}
 			return runUntilTold(h)
 		}}
 	c.Flags().StringVarP(&file, "config", "c", "", "the placer's file")
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -536,6 +536,10 @@
 	for _, c := range lost {
 		t.do(Lost{c.id})
 	}
+	// Behind a cut they run on, and nothing else may call that machine for long: it is asked until it tells, or
+	// until the list says that it is gone.
+	t.inquire(m)
+	t.asking[len(t.asking)-1].at = t.now + reachAgain
 }
 
 // named notes the machines of the first list that has any: each is asked what it holds, a few at a time.
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -129,6 +129,9 @@
 		{"tried again", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"}, NoLink{"m"}, 200 * ms, Woke{}}, "reach m"},
 		{"given up", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"}, NoLink{"m"}, 200 * ms, Woke{},
 			NoLink{"m"}, 1000 * ms, Woke{}, NoLink{"m"}}, "lost a"},
+		// Without this a container that ran on behind a cut was never heard of again.
+		{"given up, and its machine asked later", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"}, NoLink{"m"}, 200 * ms, Woke{},
+			NoLink{"m"}, 1000 * ms, Woke{}, NoLink{"m"}, Ended{"a"}, 3100 * ms, Woke{}}, "reach m"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			table, now, got := New(5, Bounds{Callers: 2, Open: 3, OpenPerCaller: 2}, effects), placer.Time(0), ""
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -117,6 +117,24 @@
 // Routes is the speaker; nil where no address is announced.
 func (h *Host) Routes() *speaker.Speaker { return h.routes }
 
+// Account gives the figures and routes to another goroutine, unless the loop does not answer in time.
+func (h *Host) Account(within time.Duration) (*link.Status, *link.Routes, bool) {
+	type both struct {
+		s *link.Status
+		r *link.Routes
+	}
+	got := make(chan both, 1)
+	if !h.loop.Post(func() { got <- both{h.status(), h.routesFor("")} }) {
+		return nil, nil, false
+	}
+	select {
+	case b := <-got:
+		return b.s, b.r, true
+	case <-time.After(within):
+		return nil, nil, false
+	}
+}
+
 // Addr is where owners call.
 func (h *Host) Addr() string { return h.door.Addr().String() }
 
--- a/internal/lab/bgp.go
+++ b/internal/lab/bgp.go
@@ -10,6 +10,7 @@
 
 	"glenport/internal/link"
 	"glenport/internal/standin"
+	"glenport/internal/tap"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 )
@@ -83,7 +84,7 @@
 		play func() (string, error)
 	}{{"ends", t.ends}, {"a container that flaps 50 times a second", t.flap}, {"drain first as the last choice", t.drain},
 		{"reset while the last container fails", t.resetAndFail}, {"garbage, half a message, silence, another AS", t.misbehave},
-		{"placer killed -9 and back", t.killed}} {
+		{"hall cut off and back", t.cutOff}, {"placer killed -9 and back", t.killed}} {
 		before := len(t.missed)
 		figures, err := step.play()
 		if err != nil {
@@ -149,13 +150,17 @@
 
 // run starts a container of a service and waits for the placer's yes.
 func (t *BGPTrial) run(service int, life time.Duration) (id, machine string, err error) {
+	return t.runAs(service, 0, life)
+}
+
+func (t *BGPTrial) runAs(service, workload int, life time.Duration) (id, machine string, err error) {
 	t.mu.Lock()
 	t.next++
 	id = fmt.Sprint("c", t.next)
 	ch := make(chan *link.Answer, 1)
 	t.answers[id] = ch
 	t.mu.Unlock()
-	t.send(&link.Submit{Left: 40000, Work: link.Work{Container: id, Key: id, Service: fmt.Sprint("web-", service), Cores: 0.1, Memory: 0.1,
+	t.send(&link.Submit{Left: 40000, Work: link.Work{Container: id, Key: id, Service: fmt.Sprint("web-", service), Workload: workload, Cores: 0.1, Memory: 0.1,
 		RunFor: link.Span(life.Microseconds() / 100)}})
 	select {
 	case a := <-ch:
@@ -392,6 +397,49 @@
 	})
 }
 
+// cutOff cuts the way to the hall of an at-most-once container. Its route must go when the placer takes it as lost,
+// and come back with it, as it ran on.
+func (t *BGPTrial) cutOff() (string, error) {
+	const service = 6
+	id, machine, err := t.runAs(service, 2, time.Hour)
+	if err != nil {
+		return "", err
+	}
+	for _, p := range t.peers {
+		if err := t.until("it is announced", func() bool { has, _ := p.Has(bgpPrefix(service)); return has }); err != nil {
+			return "", err
+		}
+	}
+	hall := map[string]bool{}
+	for _, m := range t.cluster.Machines {
+		for _, o := range t.cluster.Machines {
+			if o.Name == machine && o.ZoneN == m.ZoneN {
+				hall[m.Name] = true
+			}
+		}
+	}
+	began := time.Now()
+	t.cluster.Net.Set(func(_ string, far link.Role, name string) tap.Fault {
+		return tap.Fault{Cut: far == link.Machine && hall[name]}
+	})
+	gone := func() bool { has, _ := t.peers[0].Has(bgpPrefix(service)); return !has }
+	if err := t.until("the route is gone", gone); err != nil {
+		return "", err
+	}
+	cut := time.Since(began)
+	t.cluster.Net.Set(func(string, link.Role, string) tap.Fault { return tap.Fault{} })
+	began = time.Now()
+	if err := t.until("the route is back", func() bool { return !gone() }); err != nil {
+		return "", err
+	}
+	if !t.endOf(id).IsZero() {
+		t.miss("the container was ended by the cut")
+	}
+	back := time.Since(began)
+	t.send(&link.Cancel{Container: id, Key: id})
+	return fmt.Sprintf("gone %.1f s after the cut, back %.1f s after its end", cut.Seconds(), back.Seconds()), t.until("it is gone", gone)
+}
+
 // killed kills the placer for good while containers of two services run; one ends meanwhile. When the placer is
 // back the live one's route must never have gone, and the other's must go.
 func (t *BGPTrial) killed() (string, error) {
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -292,6 +292,9 @@
 	return s, nil
 }
 
+// FD is the listener's descriptor, for options of its socket.
+func (s *Listener) FD() int { return s.fd }
+
 // Addr is where it listens.
 func (s *Listener) Addr() netip.AddrPort { return s.addr }
 
@@ -364,9 +367,14 @@
 
 // Dial begins a connection. The handler hears Opened or Closed, never before Dial has returned.
 func (l *Loop) Dial(addr string, h Handler, room int, within Tick) *Conn {
+	return l.DialWith(addr, h, room, within, nil)
+}
+
+// DialWith sets a socket up by prepare before it connects.
+func (l *Loop) DialWith(addr string, h Handler, room int, within Tick, prepare func(fd int) error) *Conn {
 	c := &Conn{l: l, fd: -1, h: h, room: room}
 	l.conns++
-	if err := c.dial(addr, within); err != nil {
+	if err := c.dial(addr, within, prepare); err != nil {
 		l.conns--
 		c.dead = true
 		l.wheel.Set(l.now, func() { c.tell(fmt.Errorf("%w to %s: %w", ErrNoConnect, addr, err)) })
@@ -374,7 +382,7 @@
 	return c
 }
 
-func (c *Conn) dial(addr string, within Tick) error {
+func (c *Conn) dial(addr string, within Tick, prepare func(fd int) error) error {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
 		return err
@@ -384,6 +392,12 @@
 		return err
 	}
 	unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
+	if prepare != nil {
+		if err := prepare(fd); err != nil {
+			unix.Close(fd)
+			return err
+		}
+	}
 	if err = unix.Connect(fd, sockaddr(ap)); err == nil || err == unix.EINPROGRESS {
 		err = c.l.add(fd, unix.EPOLLOUT, c)
 	}
--- /dev/null
+++ b/internal/metrics/metrics_test.go
@@ -0,0 +1,43 @@
+package metrics
+
+import (
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"glenport/internal/link"
+)
+
+type account struct{ ok bool }
+
+func (a account) Account(time.Duration) (*link.Status, *link.Routes, bool) {
+	return &link.Status{Figures: []link.Figure{{Name: "placing p99.9", Value: 0.5, Unit: "ms"}, {Name: "bids", Value: 7}}},
+		&link.Routes{Peers: []link.RoutePeer{{Addr: "192.0.2.1:179", State: "Established", Routes: 3}}}, a.ok
+}
+
+func TestMetrics(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		ok   bool
+		want []string
+		not  string
+	}{
+		{"answers", true, []string{"glenport_answers 1", "glenport_placing_p99_9_ms 0.5", "glenport_bids 7",
+			`glenport_bgp_established{peer="192.0.2.1:179"} 1`, `glenport_bgp_routes{peer="192.0.2.1:179"} 3`}, "nothing"},
+		{"does not answer", false, []string{"glenport_answers 0"}, "glenport_bids"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			Serve("", account{tc.ok}).Handler.ServeHTTP(w, httptest.NewRequest("GET", "/metrics", nil))
+			for _, line := range tc.want {
+				if !strings.Contains(w.Body.String(), line+"\n") {
+					t.Errorf("no line %s in\n%s", line, w.Body)
+				}
+			}
+			if strings.Contains(w.Body.String(), tc.not) {
+				t.Errorf("%s is shown", tc.not)
+			}
+		})
+	}
+}
--- a/internal/site/bgp.go
+++ b/internal/site/bgp.go
@@ -28,6 +28,7 @@
 	Passive  bool
 	Restart  placer.Time
 	Allow    []netip.Prefix
+	Key      string // signs its segments (TCP MD5, RFC 2385); none where empty
 }
 
 type bgpFile struct {
@@ -46,6 +47,7 @@
 	Passive  settings.Flag   `yaml:"it_calls" settings:"may"`
 	Families []settings.Word `yaml:"families"`
 	Allow    []settings.Word `yaml:"allow"`
+	Key      settings.Word   `yaml:"tcp_md5_key" settings:"may"`
 }
 
 type bgpService struct {
@@ -99,7 +101,11 @@
 	for i, p := range f.Peers {
 		path := fmt.Sprintf("bgp.peers[%d]", i)
 		c.needed(path, p)
-		x := Neighbour{Addr: c.address(p.Addr), AS: c.as(p.AS), Hold: c.span(p.Hold), Restart: c.span(p.Restart), Passive: p.Passive.Value}
+		x := Neighbour{Addr: c.address(p.Addr), AS: c.as(p.AS), Hold: c.span(p.Hold), Restart: c.span(p.Restart), Passive: p.Passive.Value,
+			Key: p.Key.Text}
+		if len(x.Key) > 80 {
+			c.fail(p.Key.Place, "a key has up to 80 bytes")
+		}
 		if h := p.Hold.Tenths / 10_000; p.Hold.Tenths%10_000 != 0 || h == 1 || h == 2 || h > 65535 {
 			c.fail(p.Hold.Place, "a hold time is 0 or whole seconds from 3 to 65535")
 		}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -19,6 +19,7 @@
 	Door      string
 	ListAddr  string
 	Keep      string // the file of the last list; none where empty
+	Metrics   string // where to be scraped; nowhere where empty
 	Peers     []string
 	Terms     placer.Terms
 	Bounds    custody.Bounds
@@ -39,6 +40,7 @@
 	Seed      settings.Count  `yaml:"seed" settings:"may"`
 	Door      settings.Word   `yaml:"door"`
 	Keep      settings.Word   `yaml:"keep" settings:"may"`
+	Metrics   settings.Word   `yaml:"metrics" settings:"may"`
 	Peers     []settings.Word `yaml:"peers"`
 	List      list            `yaml:"list"`
 	Links     links           `yaml:"links"`
@@ -252,6 +254,9 @@
 		p.Terms.Customers = append(p.Terms.Customers, placer.Customer{Cores: c.above0(k.Cores)})
 		p.Customers = append(p.Customers, k.Name.Text)
 	}
+	if f.Metrics.Set() {
+		p.Metrics = c.address(f.Metrics)
+	}
 	if f.BGP != nil {
 		p.BGP = c.bgp(f.BGP)
 	}
--- a/internal/speaker/speaker.go
+++ b/internal/speaker/speaker.go
@@ -108,6 +108,11 @@
 			func(error) {}); err != nil {
 			return err
 		}
+		for _, p := range s.peers {
+			if err := p.sign(s.listener.FD()); err != nil {
+				return err
+			}
+		}
 	}
 	var events []announce.Event
 	for _, name := range s.Services() {
@@ -328,7 +333,7 @@
 		case session.Dial:
 			w := &wire{p: p, number: a.Conn}
 			p.conns[a.Conn] = w
-			w.conn = p.s.loop.Dial(p.terms.Addr, w, output, dialWithin)
+			w.conn = p.s.loop.DialWith(p.terms.Addr, w, output, dialWithin, p.sign)
 		case session.Send:
 			if w := p.conns[a.Conn]; w != nil {
 				w.write(a.Message)
@@ -361,6 +366,22 @@
 	}
 }
 
+// sign sets the key up on a socket to the peer. Where the kernel refuses, no session is opened: an unsigned one is
+// not what the file asks for.
+func (p *peer) sign(fd int) error {
+	if p.terms.Key == "" {
+		return nil
+	}
+	a, err := netip.ParseAddrPort(p.terms.Addr)
+	if err == nil {
+		err = loop.SignTCP(fd, a.Addr(), p.terms.Key)
+	}
+	if err != nil {
+		p.s.log.Error("no session", "peer", p.terms.Addr, "why", err)
+	}
+	return err
+}
+
 // begin tells a peer all that stands.
 func (p *peer) begin(u session.Up) {
 	p.up, p.ending = &u, u.EndMark
