Most healthy first: a MED that rises as fewer containers serve, where asked for

Need: peers with several paths should prefer the placer with most containers. Change: fewer_is_worse adds 10 of MED for each halving below 16. Result: a table test; the pace of one update a second holds for it as for all.

--- a/internal/announce/announce.go
+++ b/internal/announce/announce.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"math/bits"
 	"net/netip"
 	"sort"
 
@@ -24,6 +25,8 @@
 	forgetBelow  = 50.0    // a penalty so small is dropped
 	drainedPref  = 0       // local preference of what is about to go, RFC 8326
 	ordinaryPref = 100
+	healthStep   = 10 // of MED, for each halving of what serves below
+	healthHalves = 5  // sixteen
 )
 
 // GracefulShutdown is the well-known community of RFC 8326.
@@ -42,7 +45,8 @@
 	Prefix  netip.Prefix
 	NextHop netip.Addr
 	MED     uint32
-	Least   int // running containers below which it is not announced; 0 counts as 1
+	Least   int  // running containers below which it is not announced; 0 counts as 1
+	Healthy bool // the more of them serve, the lower the MED: peers prefer the placer with most
 }
 
 // Event is something that happened.
@@ -212,6 +216,9 @@
 		return Path{}, false
 	}
 	p := Path{NextHop: s.terms.NextHop, MED: s.terms.MED, Preference: ordinaryPref}
+	if s.terms.Healthy { // by halves, so that one more or less of many changes nothing
+		p.MED += healthStep * uint32(max(0, healthHalves-bits.Len(uint(serving))))
+	}
 	if serving == 0 {
 		p.Preference = drainedPref
 		p.Communities = string([]byte{GracefulShutdown >> 24, GracefulShutdown >> 16 & 0xFF, 0, 0})
--- a/internal/announce/announce_test.go
+++ b/internal/announce/announce_test.go
@@ -96,6 +96,25 @@
 	}
 }
 
+// Where asked for, peers are led to the placer with most containers, by halves.
+func TestMostHealthyFirst(t *testing.T) {
+	for _, tc := range []struct {
+		running, draining int
+		med               uint32
+	}{{1, 0, 47}, {2, 0, 37}, {3, 0, 37}, {4, 0, 27}, {15, 0, 17}, {16, 0, 7}, {100, 0, 7}, {4, 2, 37}, {2, 2, 57}} {
+		s := web
+		s.MED, s.Healthy = 7, true
+		events := []Event{Offered{"web", s}}
+		for i := range tc.running {
+			events = append(events, Runs{"web", fmt.Sprint(i), i < tc.draining})
+		}
+		acts := New().Handle(sec, events)
+		if a, ok := acts[0].(Announce); !ok || a.Path.MED != tc.med {
+			t.Errorf("%d run, %d drain: %+v, want MED %d", tc.running, tc.draining, acts, tc.med)
+		}
+	}
+}
+
 // A container that flaps fifty times a second costs one update a second at most, and its address is left out after
 // a while; steady again, it comes back.
 func TestFlap(t *testing.T) {
--- a/internal/site/bgp.go
+++ b/internal/site/bgp.go
@@ -56,6 +56,7 @@
 	NextHop settings.Word  `yaml:"next_hop"`
 	Least   settings.Count `yaml:"least_running" settings:"may"`
 	MED     settings.Count `yaml:"med" settings:"may"`
+	Healthy settings.Flag  `yaml:"fewer_is_worse" settings:"may"`
 }
 
 func (c *check) prefix(w settings.Word) netip.Prefix {
@@ -131,7 +132,8 @@
 	owner := map[netip.Prefix]string{}
 	for i, v := range f.Services {
 		c.needed(fmt.Sprintf("bgp.services[%d]", i), v)
-		x := announce.Service{Prefix: c.prefix(v.Prefix), NextHop: c.host(v.NextHop), Least: v.Least.Value, MED: uint32(v.MED.Value)}
+		x := announce.Service{Prefix: c.prefix(v.Prefix), NextHop: c.host(v.NextHop), Least: v.Least.Value, MED: uint32(v.MED.Value),
+			Healthy: v.Healthy.Value}
 		if x.Prefix.Addr().Is4() != x.NextHop.Is4() {
 			c.fail(v.NextHop.Place, "the next hop is of another family than %s", x.Prefix)
 		}
