--- a/internal/lab/bgp.go
+++ b/internal/lab/bgp.go
@@ -32,7 +32,9 @@
 }
 
 const (
-	bgpServices  = 50
+	bgpServices  = 250
+	atATime      = 50  // ends of one round
+	ownServices  = 200 // from here on each step has its own: those before end so often that they are damped at last
 	withdrawn    = 2 * time.Second
 	betweenTold  = time.Second
 	roomOfClocks = 30 * time.Millisecond // between a peer's reading and the placer's writing
@@ -182,14 +184,15 @@
 // ends lets the last container behind each address end again and again, and measures until both peers are told.
 func (t *BGPTrial) ends() (string, error) {
 	took, n, updates := hdrhistogram.New(1, 60_000, 3), 0, 0
-	for range t.Rounds {
-		ids := make([]string, bgpServices)
+	for round := range t.Rounds {
+		first := round * atATime % ownServices
+		ids := make([]string, atATime)
 		var all sync.WaitGroup
-		errs := make(chan error, bgpServices)
-		for i := range bgpServices {
+		errs := make(chan error, atATime)
+		for i := range atATime {
 			all.Go(func() {
 				var err error
-				if ids[i], _, err = t.run(i, time.Duration(1200+i*13)*time.Millisecond); err != nil {
+				if ids[i], _, err = t.run(first+i, time.Duration(1200+i*13)*time.Millisecond); err != nil {
 					errs <- err
 				}
 			})
@@ -205,7 +208,7 @@
 				return "", err
 			}
 			for k, p := range t.peers {
-				if err := t.until(fmt.Sprintf("peer %d is told that %s is gone", k, bgpPrefix(i)), func() bool { has, _ := p.Has(bgpPrefix(i)); return !has }); err != nil {
+				if err := t.until(fmt.Sprintf("peer %d is told that %s is gone", k, bgpPrefix(first+i)), func() bool { has, _ := p.Has(bgpPrefix(first + i)); return !has }); err != nil {
 					return "", err
 				}
 			}
@@ -216,7 +219,7 @@
 				if !x.Gone {
 					continue
 				}
-				late := x.At.Sub(t.endOf(ids[x.Prefix.Addr().As4()[3]]))
+				late := x.At.Sub(t.endOf(ids[int(x.Prefix.Addr().As4()[3])-first]))
 				n++
 				took.RecordValue(max(1, late.Milliseconds()))
 				if late > withdrawn {
@@ -225,12 +228,12 @@
 			}
 		}
 	}
-	if n < t.Rounds*bgpServices*len(t.peers) {
-		t.miss("%d withdrawals for %d ends at %d peers", n, t.Rounds*bgpServices, len(t.peers))
+	if n < t.Rounds*atATime*len(t.peers) {
+		t.miss("%d withdrawals for %d ends at %d peers", n, t.Rounds*atATime, len(t.peers))
 	}
 	return fmt.Sprintf("%d ends at %d peers, withdrawn after p50 %d ms, p99 %d ms, worst %d ms; %.1f updates an end and peer",
-		t.Rounds*bgpServices, len(t.peers), took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max(),
-		float64(updates)/float64(t.Rounds*bgpServices*len(t.peers))), nil
+		t.Rounds*atATime, len(t.peers), took.ValueAtQuantile(50), took.ValueAtQuantile(99), took.Max(),
+		float64(updates)/float64(t.Rounds*atATime*len(t.peers))), nil
 }
 
 // flap starts and ends containers of one service fifty times a second for eight seconds.
@@ -242,14 +245,14 @@
 	began := time.Now()
 	for i := range flaps {
 		time.Sleep(time.Until(began.Add(time.Duration(i) * 20 * time.Millisecond)))
-		go t.run(0, 10*time.Millisecond)
+		go t.run(ownServices, 10*time.Millisecond)
 	}
 	time.Sleep(3 * time.Second)
 	worst, n := time.Hour, 0
 	for k, p := range t.peers {
 		var last time.Time
 		for _, x := range p.Told() {
-			if x.Prefix != bgpPrefix(0) {
+			if x.Prefix != bgpPrefix(ownServices) {
 				continue
 			}
 			n++
@@ -261,7 +264,7 @@
 			}
 			last = x.At
 		}
-		if has, _ := p.Has(bgpPrefix(0)); has {
+		if has, _ := p.Has(bgpPrefix(ownServices)); has {
 			t.miss("peer %d still has the route of a service without a container", k)
 		}
 	}
@@ -270,7 +273,7 @@
 
 // drain marks the machine of a lone container as draining: it must become the last choice before it is gone.
 func (t *BGPTrial) drain() (string, error) {
-	const service = 1
+	const service = ownServices + 1
 	id, machine, err := t.run(service, time.Hour)
 	if err != nil {
 		return "", err
@@ -312,7 +315,7 @@
 // resetAndFail resets a session in the moment in which the machine of the last container dies. When the session is
 // back the route must not be there.
 func (t *BGPTrial) resetAndFail() (string, error) {
-	const service, tries = 2, 5
+	const service, tries = ownServices + 2, 5
 	worst := time.Duration(0)
 	for range tries {
 		id, machine, err := t.run(service, time.Hour)
@@ -352,7 +355,7 @@
 
 // misbehave plays a peer that breaks the protocol: the session ends and comes back, the other peer is not touched.
 func (t *BGPTrial) misbehave() (string, error) {
-	const service = 3
+	const service = ownServices + 3
 	id, _, err := t.run(service, time.Hour)
 	if err != nil {
 		return "", err
@@ -400,7 +403,7 @@
 // cutOff cuts the way to the hall of an at-most-once container. Its route must go when the placer takes it as lost,
 // and come back with it, as it ran on.
 func (t *BGPTrial) cutOff() (string, error) {
-	const service = 6
+	const service = ownServices + 6
 	id, machine, err := t.runAs(service, 2, time.Hour)
 	if err != nil {
 		return "", err
@@ -443,7 +446,7 @@
 // killed kills the placer for good while containers of two services run; one ends meanwhile. When the placer is
 // back the live one's route must never have gone, and the other's must go.
 func (t *BGPTrial) killed() (string, error) {
-	const lives, dies = 4, 5
+	const lives, dies = ownServices + 4, ownServices + 5
 	if _, _, err := t.run(lives, time.Hour); err != nil {
 		return "", err
 	}
