A bid waits for its link a sixteenth of the cold window at most

Bids waited up to 120 ms for a link, of the 125 ms that the module keeps for all of a bid's way, and the rest of the way took more than 5 ms.

--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -223,9 +223,9 @@
 			ListedAsks: m.ListedAsks.Value, MayProbe: m.Probes.Value, MostBids: c.some(f.Bids.Most),
 			AnswerGrace: c.span(f.Bids.Grace), ListOnAsk: true, AskWithin: c.lasting(f.List.AskWithin),
 			ColdFor: c.span(m.ColdFor), ColdWindow: c.span(m.ColdWindow), ColdBids: m.ColdBids.Value}}
-	if t := &p.Terms; t.ColdBids > 0 && 8*p.Connect > loop.Tick(t.ColdWindow) {
-		c.fail(f.Links.Connect.Place, "a bid may wait for its link no longer than an eighth of cold_window, %g ms",
-			float64(t.ColdWindow)/8/float64(placer.Millisecond))
+	if t := &p.Terms; t.ColdBids > 0 && 16*p.Connect > loop.Tick(t.ColdWindow) {
+		c.fail(f.Links.Connect.Place, "a bid may wait for its link no longer than a sixteenth of cold_window, %g ms",
+			float64(t.ColdWindow)/16/float64(placer.Millisecond))
 	}
 	if p.Output < 64<<10 {
 		c.fail(f.Links.Output.Place, "%d bytes are too few for a frame: 64KiB at least", p.Output)
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -46,7 +46,7 @@
 		{"no address", "127.0.0.1:7400", "localhost", `placer.yaml:6:7: "localhost" is no address`},
 		{"number beyond placers", "number: 0 ", "number: 3 ", "placer.yaml:3:9: number 3 is not below placers, 3"},
 		// Bids that wait longer for a link would reach a cold machine in a heap.
-		{"link slower than the cold window bears", "connect_within: 300ms", "connect_within: 400ms", "an eighth of cold_window, 375 ms"},
+		{"link slower than the cold window bears", "connect_within: 180ms", "connect_within: 200ms", "a sixteenth of cold_window, 187.5 ms"},
 		{"no such effect", "effect: numbered", "effect: keyed", `"keyed" is none of reissuable, numbered, at-most-once`},
 		{"numbered without a group", "repeats_dropped_in: zone, ", "", "workloads[1].repeats_dropped_in is missing"},
 		{"window of what has none", "effect: reissuable", "effect: reissuable, repeats_dropped_for: 8s", "only numbered work"},
