--- a/cmd/glenport-lab/load.go
+++ b/cmd/glenport-lab/load.go
@@ -44,16 +44,9 @@
 	var fleet, waiting, watchers int
 	api := &cobra.Command{Use: "api", Short: "Measure a keeper with containers that wait", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			program, err := placerProgram(0)
-			if err != nil {
-				return err
-			}
-			dir, done, err := folder("")
-			if err != nil {
-				return err
-			}
-			defer done()
-			return lab.MeasureAPI("days/why-placer.yaml", dir, program, fleet, waiting, watchers, os.Stdout)
+			return withPlacers("", 0, func(program []string, dir string) error {
+				return lab.MeasureAPI("days/why-placer.yaml", dir, program, fleet, waiting, watchers, os.Stdout)
+			})
 		}}
 	api.Flags().IntVar(&fleet, "machines", 1000, "how many machines")
 	api.Flags().IntVar(&waiting, "waiting", 10000, "how many containers wait")
@@ -61,16 +54,9 @@
 	var keptRate int
 	kept := &cobra.Command{Use: "kept", Short: "Measure the way of jobs through a keeper", Args: cobra.NoArgs,
 		RunE: func(*cobra.Command, []string) error {
-			program, err := placerProgram(0)
-			if err != nil {
-				return err
-			}
-			dir, done, err := folder("")
-			if err != nil {
-				return err
-			}
-			defer done()
-			return lab.MeasureKept("days/why-placer.yaml", dir, program, fleet, keptRate, 5*time.Second, os.Stdout)
+			return withPlacers("", 0, func(program []string, dir string) error {
+				return lab.MeasureKept("days/why-placer.yaml", dir, program, fleet, keptRate, 5*time.Second, os.Stdout)
+			})
 		}}
 	kept.Flags().IntVar(&fleet, "machines", 100, "how many machines")
 	kept.Flags().IntVar(&keptRate, "rate", 300, "jobs a second")
--- a/cmd/glenport-lab/main.go
+++ b/cmd/glenport-lab/main.go
@@ -62,25 +62,32 @@
 	return []string{p, "placer"}, nil
 }
 
-func play(d *lab.Day, dir string, rule int) error {
+// withPlacers runs f with the program that placers are, and a folder for their files.
+func withPlacers(named string, rule int, f func(program []string, dir string) error) error {
 	program, err := placerProgram(rule)
 	if err != nil {
 		return err
 	}
-	dir, done, err := folder(dir)
+	dir, done, err := folder(named)
 	if err != nil {
 		return err
 	}
 	defer done()
-	o, err := d.Run(dir, program, os.Stdout)
-	if err != nil {
-		return err
-	}
-	o.Print(os.Stdout)
-	if !o.Held() {
-		return errNotHeld
-	}
-	return nil
+	return f(program, dir)
+}
+
+func play(d *lab.Day, dir string, rule int) error {
+	return withPlacers(dir, rule, func(program []string, dir string) error {
+		o, err := d.Run(dir, program, os.Stdout)
+		if err != nil {
+			return err
+		}
+		o.Print(os.Stdout)
+		if !o.Held() {
+			return errNotHeld
+		}
+		return nil
+	})
 }
 
 func dayCommand() *cobra.Command {
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// list answers every question with all machines.
+// instantList answers every question with all machines.
 func instantList(l net.Listener, machines []*instant, each *sync.WaitGroup, stop chan struct{}) {
 	for {
 		c, err := l.Accept()
