--- /dev/null
+++ b/internal/lab/crashes.go
@@ -0,0 +1,196 @@
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"strings"
+
+	"glenport/internal/faultdisk"
+	"glenport/internal/store"
+)
+
+// Crashes plays a history of commits on a folder in memory and looks at every state in which a crash, or a crash of
+// the recovery from a crash, may leave it.
+type Crashes struct {
+	Seed    uint64
+	Commits int
+	Mixed   int    // states drawn at each operation, beside all lost and all kept
+	Spoil   string // sync or checksum: sabotage
+
+	Ops, States, Again, Flips, Refused int
+}
+
+// moment is one commit of the history.
+type moment struct {
+	state   string
+	began   int // operations before it
+	ended   int // operations when it was acknowledged
+	durable bool
+}
+
+// history commits and notes what must be found. Every commit changes the value of "n", so that states differ.
+func (c *Crashes) history(d *faultdisk.Disk) ([]moment, error) {
+	s, _, err := store.Open(d, store.Terms{Small: 2000})
+	if err != nil {
+		return nil, err
+	}
+	r := rand.New(rand.NewPCG(c.Seed, 3))
+	model := map[string]string{}
+	all := []moment{{state: text(model)}}
+	for n := range c.Commits {
+		changes := []store.Change{{Kind: "count", Key: "n", Value: fmt.Append(nil, n+1)}}
+		for range r.IntN(4) {
+			ch := store.Change{Kind: "job", Key: fmt.Sprint(r.IntN(20))}
+			if r.IntN(3) > 0 {
+				ch.Value = []byte(strings.Repeat(string(rune('a'+r.IntN(26))), r.IntN(700)+1))
+			}
+			changes = append(changes, ch)
+		}
+		for _, ch := range changes {
+			if ch.Value == nil {
+				delete(model, ch.Kind+"/"+ch.Key)
+			} else {
+				model[ch.Kind+"/"+ch.Key] = string(ch.Value)
+			}
+		}
+		m := moment{state: text(model), began: d.Ops(), durable: r.IntN(3) > 0}
+		done := make(chan error, 1)
+		s.Commit(changes, m.durable, func(err error) {
+			m.ended = d.Ops()
+			done <- err
+		})
+		if err := <-done; err != nil {
+			return nil, err
+		}
+		all = append(all, m)
+	}
+	return all, s.Close()
+}
+
+func text(model map[string]string) string {
+	var all []string
+	for k, v := range model {
+		all = append(all, k+"="+v)
+	}
+	sort.Strings(all)
+	return strings.Join(all, "\n")
+}
+
+func textOf(s *store.State) string {
+	model := map[string]string{}
+	for kind := range s.Kinds() {
+		s.Each(kind, func(k string, v []byte) error {
+			model[kind+"/"+k] = string(v)
+			return nil
+		})
+	}
+	return text(model)
+}
+
+// open recovers a folder and tells what it holds.
+func (c *Crashes) open(d *faultdisk.Disk) (string, error) {
+	s, _, err := store.Open(d, store.Terms{Trust: c.Spoil == "checksum"})
+	if err != nil {
+		return "", err
+	}
+	held := textOf(s.State())
+	return held, s.Close()
+}
+
+// Run returns what was found to be wrong first, or nil.
+func (c *Crashes) Run() error {
+	d := faultdisk.New()
+	d.NoSync = c.Spoil == "sync"
+	moments, err := c.history(d)
+	if err != nil {
+		return err
+	}
+	c.Ops = d.Ops()
+	r := rand.New(rand.NewPCG(c.Seed, 4))
+	for at := 0; at <= c.Ops; at++ {
+		floor, ceiling := 0, 0
+		for i, m := range moments {
+			if i > 0 && m.ended <= at && m.durable {
+				floor = i
+			}
+			if i > 0 && m.began < at {
+				ceiling = i
+			}
+		}
+		fates := []faultdisk.Fate{faultdisk.Lost, faultdisk.Kept}
+		for range c.Mixed {
+			fates = append(fates, faultdisk.Mixed(r))
+		}
+		for n, fate := range fates {
+			left := d.Crash(at, fate)
+			before := left.Ops()
+			held, err := c.open(left)
+			if err != nil {
+				return fmt.Errorf("crash after operation %d of %d, fate %d: not opened: %w", at, c.Ops, n, err)
+			}
+			c.States++
+			if err := legal(held, moments, floor, ceiling); err != nil {
+				return fmt.Errorf("crash after operation %d of %d, fate %d: %w", at, c.Ops, n, err)
+			}
+			if n < len(fates)-1 && at%7 != 0 {
+				continue
+			}
+			for again := before; again <= left.Ops(); again++ { // a second crash, during the recovery from the first
+				twice, err := c.open(left.Crash(again, faultdisk.Mixed(r)))
+				if err != nil {
+					return fmt.Errorf("crash after operation %d, and again after %d of its recovery: not opened: %w", at, again-before, err)
+				}
+				c.Again++
+				if err := legal(twice, moments, floor, ceiling); err != nil {
+					return fmt.Errorf("crash after operation %d, and again after %d of its recovery: %w", at, again-before, err)
+				}
+			}
+		}
+	}
+	return c.flip(d, moments, r)
+}
+
+func legal(held string, moments []moment, floor, ceiling int) error {
+	for i := floor; i <= ceiling; i++ {
+		if moments[i].state == held {
+			return nil
+		}
+	}
+	for i := range moments {
+		if moments[i].state == held {
+			return fmt.Errorf("the state is that after commit %d; kept were all up to %d, begun %d", i, floor, ceiling)
+		}
+	}
+	return errors.New("the state is that after no commit")
+}
+
+// flip turns single bits over in what a clean end left. Each must be refused, but in the last group: there it
+// cannot be told from a group that a crash cut off, and the state before it is found.
+func (c *Crashes) flip(d *faultdisk.Disk, moments []moment, r *rand.Rand) error {
+	names, _ := d.List()
+	last := len(moments) - 1
+	for _, name := range names {
+		p, err := d.Read(name)
+		if err != nil {
+			return err
+		}
+		for range 40 * c.Mixed {
+			bit := r.IntN(8 * len(p))
+			left := d.Crash(c.Ops, faultdisk.Kept)
+			if err := left.Flip(name, bit); err != nil {
+				return err
+			}
+			held, err := c.open(left)
+			c.Flips++
+			switch {
+			case err != nil:
+				c.Refused++
+			case held != moments[last].state && held != moments[last-1].state:
+				return fmt.Errorf("bit %d of %s turned over: opened without a word, and what was kept is not there", bit, name)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,329 @@
+package store
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+
+	"glenport/internal/disk"
+	"glenport/internal/faultdisk"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func put(key, value string) Change { return Change{Kind: "k", Key: key, Value: []byte(value)} }
+
+func commit1(s *Store, durable bool, all ...Change) error {
+	done := make(chan error, 1)
+	s.Commit(all, durable, func(err error) { done <- err })
+	return <-done
+}
+
+func mustOpen(t *testing.T, d disk.Folder, terms Terms) (*Store, Figures) {
+	t.Helper()
+	s, f, err := Open(d, terms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, f
+}
+
+func held(s *State) map[string]string {
+	out := map[string]string{}
+	s.Each("k", func(k string, v []byte) error {
+		out[k] = string(v)
+		return nil
+	})
+	return out
+}
+
+// filled is a folder with ten groups in one log.
+func filled(t *testing.T) *faultdisk.Disk {
+	d := faultdisk.New()
+	s, _ := mustOpen(t, d, Terms{})
+	for i := range 10 {
+		if err := commit1(s, true, put(fmt.Sprint(i), strings.Repeat("x", 100))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return d
+}
+
+const first = "log-0000000000000001"
+
+// What is damaged is told with its place; only what a crash may leave is read over.
+func TestDamage(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		spoil func(t *testing.T, d *faultdisk.Disk)
+		want  string // of the error; empty: nine or ten groups are read
+		left  int
+	}{
+		{"nothing", func(*testing.T, *faultdisk.Disk) {}, "", 10},
+		{"a truncated tail", func(t *testing.T, d *faultdisk.Disk) {
+			p, _ := d.Read(first)
+			f, _ := d.Append(first)
+			f.Truncate(int64(len(p) - 50))
+			f.Sync()
+		}, "", 9},
+		{"a corrupt middle", func(t *testing.T, d *faultdisk.Disk) { d.Flip(first, 8*400) }, "group 3 is damaged; it was kept, as group 4", 0},
+		{"a corrupt length in the middle", func(t *testing.T, d *faultdisk.Disk) { d.Flip(first, 8*(headerSize+4)) }, "group 1 is damaged", 0},
+		{"a corrupt beginning", func(t *testing.T, d *faultdisk.Disk) { d.Flip(first, 8*3) }, "at byte 0: it does not begin", 0},
+		{"a version from later", func(t *testing.T, d *faultdisk.Disk) { rewrite(t, d, first, Version+1) }, "use the later one", 0},
+		{"a file is missing", func(t *testing.T, d *faultdisk.Disk) {
+			if err := d.Rename(first, "log-0000000000000004"); err != nil {
+				t.Fatal(err)
+			}
+		}, "a file is missing", 0},
+		{"an unfinished snapshot", func(t *testing.T, d *faultdisk.Disk) { d.Create("snapshot-000000000000000b.new") }, "", 10},
+		{"a snapshot cut short", func(t *testing.T, d *faultdisk.Disk) {
+			if _, _, err := Compact(d); err != nil {
+				t.Fatal(err)
+			}
+			f, _ := d.Append("snapshot-000000000000000b")
+			f.Truncate(300)
+		}, "part 0 of it is damaged", 0},
+		{"a snapshot without its log", func(t *testing.T, d *faultdisk.Disk) {
+			Compact(d)
+			d.Remove("log-000000000000000b")
+		}, "the log from group 11 on is missing", 0},
+		{"compacted", func(t *testing.T, d *faultdisk.Disk) { Compact(d); Compact(d) }, "", 10},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := filled(t)
+			tc.spoil(t, d)
+			before, _ := d.List()
+			s, f, err := Open(d, Terms{})
+			if tc.want != "" {
+				after, _ := d.List()
+				if err == nil || !strings.Contains(err.Error(), tc.want) {
+					t.Errorf("%v", err)
+				}
+				if len(before) != len(after) {
+					t.Error("a damaged folder was changed")
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer s.Close()
+			if f.Records != tc.left || len(held(s.State())) != tc.left {
+				t.Errorf("%+v", f)
+			}
+			if err := commit1(s, true, put("more", "y")); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// rewrite gives a file another version, with a right checksum.
+func rewrite(t *testing.T, d *faultdisk.Disk, name string, version byte) {
+	p, err := d.Read(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := header(logSort, 1)
+	h[7] = version
+	h = binary.BigEndian.AppendUint32(h[:16], crc32.Checksum(h[:16], table))
+	d.Remove(name)
+	f, _ := d.Create(name)
+	f.Write(append(h, p[headerSize:]...))
+}
+
+// A full disk refuses what does not fit and loses nothing; a sync that failed is never believed again.
+func TestFailures(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		kind  string
+		err   error
+		after bool // the next commit succeeds once the fault is gone
+	}{
+		{"full disk", "write", syscall.ENOSPC, true},
+		{"failing sync", "sync", syscall.EIO, false},
+		{"full, and not to be taken back", "write truncate", syscall.EIO, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := faultdisk.New()
+			modes := 0
+			s, _ := mustOpen(t, d, Terms{OnMode: func(string, ...any) { modes++ }})
+			commit1(s, true, put("a", "1"))
+			d.Fail = func(kind, _ string) error {
+				if strings.Contains(tc.kind, kind) {
+					return tc.err
+				}
+				return nil
+			}
+			if err := commit1(s, true, put("b", "2")); !errors.Is(err, tc.err) {
+				t.Errorf("%v", err)
+			}
+			d.Fail = nil
+			err := commit1(s, true, put("c", "3"))
+			if (err == nil) != tc.after || !tc.after && !errors.Is(err, ErrBroken) {
+				t.Errorf("after it: %v", err)
+			}
+			s.Close()
+			if modes == 0 {
+				t.Error("nobody was told")
+			}
+			r, err := Read(d, false)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got := held(r)
+			if got["a"] != "1" || tc.after && (got["c"] != "3" || got["b"] != "") {
+				t.Errorf("%v", got)
+			}
+		})
+	}
+	t.Run("read-only folder", func(t *testing.T) {
+		d := faultdisk.New()
+		d.Fail = func(string, string) error { return syscall.EROFS }
+		if _, _, err := Open(d, Terms{}); !errors.Is(err, syscall.EROFS) {
+			t.Errorf("%v", err)
+		}
+	})
+	t.Run("owned by another", func(t *testing.T) {
+		dir := t.TempDir()
+		one, err := disk.Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var owned *disk.Owned
+		if _, err := disk.Open(dir); !errors.As(err, &owned) || !strings.Contains(owned.By, fmt.Sprint(os.Getpid())) {
+			t.Errorf("%v", err)
+		}
+		one.Close()
+		two, err := disk.Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		two.Close()
+	})
+}
+
+// A folder of the system's holds a bounded amount, while work goes on, and is read as it was written.
+func TestCompaction(t *testing.T) {
+	d, err := disk.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Close()
+	s, _ := mustOpen(t, d, Terms{Small: 20_000})
+	want := map[string]string{}
+	for i := range 3000 {
+		k, v := fmt.Sprint(i%50), strings.Repeat(fmt.Sprint(i), 20)
+		want[k] = v
+		s.Commit([]Change{put(k, v)}, false, func(err error) {
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	if err := commit1(s, true); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	n := s.Counts()
+	if n.Snapshots < 3 {
+		t.Errorf("%+v", n)
+	}
+	r, err := Read(d, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !maps.Equal(held(r), want) {
+		t.Error("not what was written")
+	}
+	if names, _ := d.List(); len(names) > 4 {
+		t.Errorf("%v", names)
+	}
+}
+
+// Random histories of commits and crashes against a reference: after each crash the folder holds the state after
+// some commit, never one before the last that was said to be on disk. Crashes come during recovery too.
+func TestModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := faultdisk.New()
+		past := []map[string]string{{}}
+		floor := 0
+		for range rapid.IntRange(1, 5).Draw(t, "lives") {
+			s, _, err := Open(d, Terms{Small: rapid.SampledFrom([]int{300, 5000}).Draw(t, "small")})
+			if err != nil {
+				t.Fatalf("not opened: %v", err)
+			}
+			got := held(s.State())
+			at := -1
+			for i := len(past) - 1; i >= floor; i-- {
+				if maps.Equal(past[i], got) {
+					at = i
+					break
+				}
+			}
+			if at < 0 {
+				t.Fatalf("found %v, which is no state from commit %d on", got, floor)
+			}
+			past, floor = past[:at+1], at // what was read counts from now on
+			opened := d.Ops()
+			var ends []int // operations when each durable commit was acknowledged
+			var which []int
+			for range rapid.IntRange(0, 12).Draw(t, "commits") {
+				next := maps.Clone(past[len(past)-1])
+				var all []Change
+				for range rapid.IntRange(1, 3).Draw(t, "changes") {
+					k := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+					if rapid.Bool().Draw(t, "put") {
+						next[k] = rapid.StringN(0, 80, 900).Draw(t, "value")
+						all = append(all, put(k, next[k]))
+					} else {
+						delete(next, k)
+						all = append(all, Change{Kind: "k", Key: k})
+					}
+				}
+				durable := rapid.Bool().Draw(t, "durable")
+				if err := commit1(s, durable, all...); err != nil {
+					t.Fatal(err)
+				}
+				past = append(past, next)
+				if durable {
+					ends, which = append(ends, d.Ops()), append(which, len(past)-1)
+				}
+			}
+			s.Close()
+			crash := rapid.IntRange(opened, d.Ops()).Draw(t, "crash after")
+			for i, e := range ends {
+				if e <= crash {
+					floor = which[i]
+				}
+			}
+			seed := rapid.Uint64().Draw(t, "fate")
+			d = d.Crash(crash, faultdisk.Mixed(rand.New(rand.NewPCG(seed, 1))))
+			if rapid.Bool().Draw(t, "crash in recovery") {
+				before := d.Ops()
+				s, _, err := Open(d, Terms{})
+				if err != nil {
+					t.Fatalf("not opened: %v", err)
+				}
+				s.Close()
+				again := rapid.IntRange(before, d.Ops()).Draw(t, "after")
+				d = d.Crash(again, faultdisk.Mixed(rand.New(rand.NewPCG(seed, 2))))
+			}
+		}
+	})
+}
