The placer gives and takes its knowledge; recall and recovery decide on it

Cold machines go unused for a window, sick ones are tried again, and its doubts about what may run are gone.

--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"sort"
 
+	"glenport/internal/recovery"
 	"glenport/placer"
 )
 
@@ -16,10 +17,6 @@
 	resumeTries = 3 // links tried to a machine that runs our containers before they count as lost
 	resumeFirst = 200 * placer.Millisecond
 	resumeGrows = 4
-	reachAtOnce = 32 // machines asked in one step what they hold
-	reachEvery  = 100 * placer.Millisecond
-	reachAgain  = 2 * placer.Second // one that could not be asked
-	sureWithin  = 3 * placer.Second // after a start: how long asks that came before wait for all to have told
 	holdOff     = 500 * placer.Millisecond
 	fullHoldOff = placer.Second
 )
@@ -35,13 +32,7 @@
 type Caller uint64
 
 // Held is a container at a machine, as the bid of one life of this placer.
-type Held struct {
-	Ask     placer.Ask
-	Machine placer.MachineID
-	Life    uint64
-	Bid     uint64
-	Running bool
-}
+type Held = recovery.Held
 
 // Event is something that happened.
 type Event interface{ event() }
@@ -64,6 +55,8 @@
 	}
 	// Ended says that nothing of a container is left at this placer.
 	Ended struct{ ID placer.ContainerID }
+	// Logged is a bid of an earlier life that the log has no end of.
+	Logged struct{ Held Held }
 	// Unheard is a bid that ended without a word that tells whether it ran; Told is the machine's later word that
 	// it does not run.
 	Unheard struct{ Held Held }
@@ -78,8 +71,11 @@
 	// Broke is the end of a link, NoLink one that could not be made.
 	Broke  struct{ Machine placer.MachineID }
 	NoLink struct{ Machine placer.MachineID }
-	// Named are machines of a list; Unnamed one that is gone.
-	Named   struct{ Machines []placer.MachineID }
+	// Named are machines of a list, all there are where it is whole and fresh; Unnamed is one that is gone.
+	Named struct {
+		Machines []placer.MachineID
+		Whole    bool
+	}
 	Unnamed struct{ Machine placer.MachineID }
 	Woke    struct{}
 )
@@ -90,6 +86,7 @@
 func (Answered) event() {}
 func (Placed) event()   {}
 func (Ended) event()    {}
+func (Logged) event()   {}
 func (Unheard) event()  {}
 func (Told) event()     {}
 func (LateYes) event()  {}
@@ -141,8 +138,10 @@
 	Reach struct{ Machine placer.MachineID }
 	// Sure says, once, that all that runs from earlier lives is known, as far as it can be.
 	Sure struct{}
-	Wake struct{ After placer.Time }
-	Log  struct{ Text string }
+	// Settled says that nothing waits for a bid's end any more: its record can go.
+	Settled struct{ Held Held }
+	Wake    struct{ After placer.Time }
+	Log     struct{ Text string }
 )
 
 func (Dismiss) action() {}
@@ -154,6 +153,7 @@
 func (Lost) action()    {}
 func (Reach) action()   {}
 func (Sure) action()    {}
+func (Settled) action() {}
 func (Wake) action()    {}
 func (Log) action()     {}
 
@@ -164,10 +164,7 @@
 	bounds  Bounds
 	effects []placer.Effect
 	now     placer.Time
-	began   placer.Time
-	said    bool // and that was said
-	sure    bool // every machine of the first list told what it holds, or time is up
-	listed  bool
+	round   *recovery.Round // what waits for a machine's word
 	out     []Action
 
 	own     map[placer.ContainerID]*container
@@ -176,19 +173,9 @@
 	open    int
 	callers map[Caller]int // open containers of each
 	broken  map[placer.MachineID]*gap
-	doubts  map[string]doubt // by key: work that must not run twice and may; emptied by its machine's word or end
-	asking  []*inquiry       // in order of time
 	wakeAt  placer.Time
 }
 
-// doubt is a bid that may run, or may have.
-type doubt struct {
-	machine placer.MachineID
-	life    uint64
-	bid     uint64
-	since   placer.Time
-}
-
 type container struct {
 	id      placer.ContainerID
 	key     string
@@ -208,25 +195,17 @@
 	pause placer.Time
 }
 
-// inquiry is a machine yet to be asked what it holds.
-type inquiry struct {
-	machine placer.MachineID
-	at      placer.Time
-	sent    bool
-}
-
-func New(life uint64, b Bounds, effects []placer.Effect) *Table {
-	return &Table{life: life, bounds: b, effects: effects, began: -1, own: map[placer.ContainerID]*container{},
+// New begins a life; log is how much is known of the bids of earlier ones.
+func New(life uint64, b Bounds, effects []placer.Effect, log recovery.Log) *Table {
+	return &Table{life: life, bounds: b, effects: effects, round: recovery.NewRound(log, effects), own: map[placer.ContainerID]*container{},
 		keys: map[string]*container{}, at: map[placer.MachineID]map[*container]bool{},
-		callers: map[Caller]int{}, broken: map[placer.MachineID]*gap{}, doubts: map[string]doubt{}}
+		callers: map[Caller]int{}, broken: map[placer.MachineID]*gap{}}
 }
 
 // Handle takes what happened by now and returns what is to be done, in that order.
 func (t *Table) Handle(now placer.Time, events []Event) []Action {
 	t.now, t.out = now, nil
-	if t.began < 0 {
-		t.began = now
-	}
+	t.recover(recovery.Passed{})
 	for _, e := range events {
 		switch e := e.(type) {
 		case Called:
@@ -243,37 +222,28 @@
 			t.placed(e)
 		case Ended:
 			t.ended(e.ID)
+		case Logged:
+			t.recover(recovery.Logged{Held: e.Held})
 		case Unheard:
-			if h := e.Held; t.effect(h) != placer.Reissuable {
-				t.doubts[h.Ask.Key] = doubt{h.Machine, h.Life, h.Bid, now}
-				t.inquire(h.Machine)
-			}
+			t.recover(recovery.Unheard{Held: e.Held})
 		case Told:
-			if d := t.doubts[e.Held.Ask.Key]; d.bid == e.Held.Bid {
-				delete(t.doubts, e.Held.Ask.Key)
-			}
-			t.told(e.Held.Machine) // its link stands, and what else it knows it will tell by it
+			t.recover(recovery.Told{Held: e.Held})
 		case LateYes:
-			delete(t.doubts, e.Held.Ask.Key)
+			t.recover(recovery.Told{Held: e.Held}) // it is known now
 			t.lateYes(e.Held)
 		case Holds:
 			t.holds(e)
 		case Broke:
-			for _, q := range t.asking {
-				if q.machine == e.Machine {
-					q.sent, q.at = false, now
-				}
-			}
+			t.recover(recovery.Broke{Machine: e.Machine})
 			if len(t.at[e.Machine]) > 0 && t.broken[e.Machine] == nil {
 				t.broken[e.Machine] = &gap{pause: resumeFirst, idle: true, next: now}
 			}
 		case NoLink:
 			t.noLink(e.Machine)
 		case Named:
-			t.named(e.Machines)
+			t.recover(recovery.Named{Machines: e.Machines, Whole: e.Whole})
 		case Unnamed:
-			t.told(e.Machine)
-			t.undoubt(e.Machine)
+			t.recover(recovery.Unnamed{Machine: e.Machine})
 		}
 	}
 	t.due()
@@ -282,6 +252,20 @@
 
 func (t *Table) do(a Action) { t.out = append(t.out, a) }
 
+// recover hands on what tells of bids that may run.
+func (t *Table) recover(e recovery.Event) {
+	for _, a := range t.round.Handle(t.now, e) {
+		switch a := a.(type) {
+		case recovery.Reach:
+			t.do(Reach{a.Machine})
+		case recovery.Settled:
+			t.do(Settled{a.Held})
+		case recovery.Sure:
+			t.do(Sure{})
+		}
+	}
+}
+
 func (t *Table) called(c Caller) {
 	if len(t.callers) >= t.bounds.Callers {
 		t.do(Dismiss{c, fmt.Sprintf("%d owners are connected, no more are taken", len(t.callers))})
@@ -308,17 +292,12 @@
 		t.do(Stands{e.Caller, e.Ask.ID, c.id, c.machine})
 	case c != nil && (c.open || c.late != nil):
 		refuse(holdOff, "key %s is being placed as %s", e.Ask.Key, c.id)
-	case t.doubtful(e.Ask):
-		d := t.doubts[e.Ask.Key]
-		refuse(holdOff, "key %s may run on machine %s, which has not told since %d ms", e.Ask.Key, d.machine,
-			(t.now-d.since)/placer.Millisecond)
 	case t.open >= t.bounds.Open:
 		refuse(fullHoldOff, "%d containers are open, no more are taken", t.open)
 	case n >= t.bounds.OpenPerCaller:
 		refuse(fullHoldOff, "%d containers of this owner are open, no more are taken", n)
-	case e.Ask.Again && !t.isSure() && t.effects[e.Ask.Workload] != placer.Reissuable:
-		refuse(holdOff, "this placer came up %d ms ago and does not know yet what runs",
-			(t.now-t.began)/placer.Millisecond)
+	case t.round.Wait(e.Ask) != "":
+		refuse(holdOff, "%s", t.round.Wait(e.Ask))
 	default:
 		c := &container{id: e.Ask.ID, key: e.Ask.Key, caller: e.Caller, open: true}
 		t.own[c.id], t.keys[c.key] = c, c
@@ -328,40 +307,6 @@
 	}
 }
 
-// doubtful tells whether an ask must wait for a machine's word: at-most-once work never goes out while a bid of its
-// key may run. A machine that is gone from the list, or that names all it holds, ends the doubt.
-func (t *Table) doubtful(a placer.Ask) bool {
-	_, ok := t.doubts[a.Key]
-	return ok && t.effects[a.Workload] == placer.AtMostOnce
-}
-
-// inquire has a machine asked what it holds. Where its link stands nothing is to be done: its word comes by that,
-// or the link breaks and is then made anew.
-func (t *Table) inquire(m placer.MachineID) {
-	for _, q := range t.asking {
-		if q.machine == m {
-			return
-		}
-	}
-	t.asking = append(t.asking, &inquiry{machine: m, at: t.now})
-}
-
-func (t *Table) undoubt(m placer.MachineID) {
-	for key, d := range t.doubts {
-		if d.machine == m {
-			delete(t.doubts, key)
-		}
-	}
-}
-
-// isSure tells whether it is known what runs from earlier lives, as far as it can be.
-func (t *Table) isSure() bool {
-	if !t.sure && (t.now >= t.began+sureWithin || t.listed && len(t.asking) == 0) {
-		t.sure = true
-	}
-	return t.sure
-}
-
 // shut notes that a container's final answer is out.
 func (t *Table) shut(c *container) {
 	if !c.open {
@@ -472,8 +417,7 @@
 // named and not known comes from an earlier life or from a bid that was over: offers that only wait are called
 // off, as nobody would hear their answer.
 func (t *Table) holds(e Holds) {
-	t.told(e.Machine)
-	t.undoubt(e.Machine)
+	t.recover(recovery.Spoke{Machine: e.Machine})
 	delete(t.broken, e.Machine)
 	named := map[[2]uint64]bool{}
 	for _, h := range e.Held {
@@ -517,11 +461,7 @@
 // dead machine is known a second after it died; containers that run on behind a longer cut are taken over, or
 // stopped, when it ends.
 func (t *Table) noLink(m placer.MachineID) {
-	for _, q := range t.asking {
-		if q.machine == m && q.sent {
-			q.sent, q.at = false, t.now+reachAgain
-		}
-	}
+	t.recover(recovery.NoLink{Machine: m})
 	g := t.broken[m]
 	if g == nil {
 		return
@@ -538,29 +478,7 @@
 	}
 	// Behind a cut they run on, and nothing else may call that machine for long: it is asked until it tells, or
 	// until the list says that it is gone.
-	t.inquire(m)
-	t.asking[len(t.asking)-1].at = t.now + reachAgain
-}
-
-// named notes the machines of the first list that has any: each is asked what it holds, a few at a time.
-func (t *Table) named(machines []placer.MachineID) {
-	if t.listed || len(machines) == 0 {
-		return
-	}
-	t.listed = true
-	for i, m := range machines {
-		t.asking = append(t.asking, &inquiry{machine: m, at: t.now + placer.Time(i/reachAtOnce)*reachEvery})
-	}
-}
-
-// told ends the asking of one machine.
-func (t *Table) told(m placer.MachineID) {
-	for i, q := range t.asking {
-		if q.machine == m {
-			t.asking = append(t.asking[:i], t.asking[i+1:]...)
-			return
-		}
-	}
+	t.recover(recovery.Lost{Machine: m})
 }
 
 // due does what its time has come for and sets the next waking.
@@ -571,20 +489,9 @@
 			next = at
 		}
 	}
-	if !t.said {
-		if t.said = t.isSure(); t.said {
-			t.do(Sure{})
-		} else {
-			later(t.began + sureWithin)
-		}
-	}
-	for _, q := range t.asking {
-		if !q.sent && q.at <= t.now {
-			q.sent = true
-			t.do(Reach{q.machine})
-		} else if !q.sent {
-			later(q.at)
-		}
+	t.recover(recovery.Passed{})
+	if at := t.round.Next(); at > 0 {
+		later(at)
 	}
 	var retry []placer.MachineID
 	for m, g := range t.broken {
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"glenport/internal/recovery"
 	"glenport/placer"
 
 	"pgregory.net/rapid"
@@ -55,7 +56,7 @@
 
 // Each case is a history; the actions of its last step are compared. The life is 5, the first caller 1.
 func TestHistories(t *testing.T) {
-	named, told := Named{[]placer.MachineID{"m"}}, Holds{Machine: "m"}
+	named, told := Named{Machines: []placer.MachineID{"m"}}, Holds{Machine: "m"}
 	for _, tc := range []struct {
 		name  string
 		steps []any // an event, or a moment from which on events happen
@@ -81,7 +82,7 @@
 		{"came before, nobody has told yet", []any{Asked{1, again("b", "k-a", 2)}}, "refuse b"},
 		{"came before, reissuable", []any{Asked{1, again("b", "k-a", 0)}}, "pass b"},
 		{"came before, all have told", []any{named, told, Asked{1, again("b", "k-a", 2)}}, "pass b"},
-		{"came before, one cannot be asked", []any{named, NoLink{"m"}, 3100 * ms, Asked{1, again("b", "k-a", 2)}}, "pass b, reach m"},
+		{"came before, one cannot be asked", []any{named, NoLink{"m"}, 3100 * ms, Asked{1, again("b", "k-a", 2)}}, "reach m, pass b"},
 		{"came before, and runs", []any{named, Holds{"m", []Held{held("a", 2, 4, 7, true)}},
 			Asked{1, again("b", "k-a", 2)}}, "stands b at m"},
 		{"machines are asked", []any{named}, "reach m"},
@@ -94,7 +95,7 @@
 			""},
 		{"earlier life, then gone", []any{Holds{"m", []Held{held("a", 0, 4, 7, true)}}, Holds{"m", nil}}, "lost a"},
 		{"two copies of one key", []any{Asked{1, ask("a", 1)}, Placed{"a", "n", 9},
-			Holds{"m", []Held{{again("b", "k-a", 1), "m", 4, 7, true}}}}, "call off 4.7"},
+			Holds{"m", []Held{{Ask: again("b", "k-a", 1), Machine: "m", Life: 4, Bid: 7, Running: true}}}}, "call off 4.7"},
 
 		{"late yes, reissuable", []any{Asked{1, ask("a", 0)}, LateYes{held("a", 0, 5, 9, true)}}, "call off 5.9"},
 		{"late yes, given up", []any{Asked{1, ask("a", 2)}, Answered{"a"}, Ended{"a"},
@@ -134,7 +135,7 @@
 			NoLink{"m"}, 1000 * ms, Woke{}, NoLink{"m"}, Ended{"a"}, 3100 * ms, Woke{}}, "reach m"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			table, now, got := New(5, Bounds{Callers: 2, Open: 3, OpenPerCaller: 2}, effects), placer.Time(0), ""
+			table, now, got := New(5, Bounds{Callers: 2, Open: 3, OpenPerCaller: 2}, effects, recovery.NoLog), placer.Time(0), ""
 			table.Handle(now, []Event{Called{1}})
 			for _, s := range tc.steps {
 				switch s := s.(type) {
@@ -155,7 +156,7 @@
 // while it neither runs nor is open; tables empty when all has ended; equal histories give equal actions.
 func TestDrawnHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := New(5, Bounds{9, 9, 9}, effects), New(5, Bounds{9, 9, 9}, effects)
+		a, b := New(5, Bounds{9, 9, 9}, effects, recovery.NoLog), New(5, Bounds{9, 9, 9}, effects, recovery.NoLog)
 		now, open, runs, bid := placer.Time(0), map[placer.ContainerID]string{}, map[placer.ContainerID]string{}, uint64(0)
 		a.Handle(0, []Event{Called{1}})
 		b.Handle(0, []Event{Called{1}})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -12,6 +12,7 @@
 	"glenport/internal/custody"
 	"glenport/internal/link"
 	"glenport/internal/loop"
+	"glenport/internal/recovery"
 	"glenport/internal/site"
 	"glenport/internal/speaker"
 	"glenport/placer"
@@ -94,7 +95,7 @@
 	for _, w := range s.Terms.Workloads {
 		effects = append(effects, w.Effect)
 	}
-	h.custody = custody.New(h.life, s.Bounds, effects)
+	h.custody = custody.New(h.life, s.Bounds, effects, recovery.NoLog)
 	h.meter.init()
 	var err error
 	if h.loop, err = loop.New(h.turn); err != nil {
--- /dev/null
+++ b/internal/recall/recall.go
@@ -0,0 +1,284 @@
+// Package recall decides what a placer that comes up believes of what an earlier life of it knew: each kind of
+// knowledge counts for less with its age and for nothing beyond a bound, and what was sent to cold machines counts
+// only where it is known that nothing is missing. It is pure.
+package recall
+
+import (
+	"fmt"
+	"math"
+	"sort"
+
+	"glenport/placer"
+)
+
+const (
+	minute = 60 * placer.Second
+	hour   = 60 * minute
+)
+
+// Kind is one of knowledge.
+type Kind uint8
+
+const (
+	List   Kind = iota // the machines as last heard
+	Health             // evidence that a machine is sick
+	Shuns              // evidence that one shuns a workload or customer
+	Starts             // how long a start takes
+	Traits             // what workloads and customers lose
+	Room               // how often no room is found
+	kinds
+)
+
+func (k Kind) String() string {
+	return [...]string{"list", "health", "shunning", "start times", "losses", "room"}[k]
+}
+
+// Tuned values: knowledge of a kind counts for half as much after its half-life, and not at all from the bound on. A
+// fleet's fullness changes in seconds and a sick machine is mended in minutes, while programs start tomorrow as
+// they do today. Harm where they are wrong: a machine mended meanwhile is a last resort for one probe more.
+var ageing = [kinds]struct{ half, bound placer.Time }{
+	List:   {24 * hour, 24 * hour},
+	Health: {minute, 10 * minute},
+	Shuns:  {20 * placer.Second, 2 * minute},
+	Starts: {6 * hour, 48 * hour},
+	Traits: {minute, 10 * minute},
+	Room:   {5 * placer.Second, minute},
+}
+
+// jumpFrom is a difference between two clocks that slewing does not explain.
+const jumpFrom = placer.Second
+
+// Weight is what knowledge of a kind counts for at an age, from 1 to 0.
+func Weight(k Kind, age placer.Time) float64 {
+	if age < 0 || age >= ageing[k].bound {
+		return 0
+	}
+	return math.Exp2(-float64(age) / float64(ageing[k].half))
+}
+
+// Stamp is a moment by two clocks: the one that people set, and the time since the system came up, which nobody
+// does. Boot tells one running of the system from another.
+type Stamp struct {
+	Clock placer.Time
+	Up    placer.Time
+	Boot  string
+}
+
+// Since is what is known of the span between two stamps, the earlier one of another life.
+type Since struct {
+	Age  placer.Time // -1: not known, as the clock went back while the system was down
+	Jump placer.Time // what the clock was set by, meanwhile; times of the earlier life are off by it
+	Same bool        // the system has run on
+}
+
+// From reckons the span from an earlier stamp. While the system runs on, the clock's jumps are seen and taken
+// out. Over a restart of the system only a clock that went back is.
+func (now Stamp) From(then Stamp) Since {
+	if then.Boot == now.Boot && then.Boot != "" && now.Up >= then.Up {
+		s := Since{Age: now.Up - then.Up, Same: true}
+		if jump := now.Clock - then.Clock - s.Age; jump >= jumpFrom || jump <= -jumpFrom {
+			s.Jump = jump
+		}
+		return s
+	}
+	if now.Clock < then.Clock {
+		return Since{Age: -1}
+	}
+	return Since{Age: now.Clock - then.Clock}
+}
+
+// Sent is when bids went to one start of a machine while it was cold.
+type Sent struct {
+	Machine placer.MachineID
+	Start   uint64 // which start of it
+	Times   []placer.Time
+}
+
+// Kept is what an earlier life left.
+type Kept struct {
+	At        Stamp
+	Knowledge placer.Knowledge
+	Starts    map[placer.MachineID]uint64 // which start of each machine it knew
+	Names     []string                    // of workloads and customers, in the order of its terms
+
+	Life Stamp  // the start of the last life that wrote down what it sent; zero: none did
+	Sent []Sent // all of it, if the system has run on
+}
+
+// Machine is one of the list as last heard, as it stands in this life.
+type Machine struct {
+	Start   uint64
+	Started placer.Time // by this life's clock
+}
+
+// Belief is what is taken over.
+type Belief struct {
+	Knowledge placer.Knowledge
+	Said      []string // one line each, with figures
+}
+
+// Believe weighs what was kept. Window is that of cold machines; names are those of this life's terms.
+func Believe(now Stamp, k Kept, machines map[placer.MachineID]Machine, names []string, window placer.Time) Belief {
+	b := Belief{Knowledge: placer.Knowledge{SentSince: now.Clock}}
+	since := now.From(k.At)
+	fits := len(names) == len(k.Names)
+	for i := range names {
+		fits = fits && names[i] == k.Names[i]
+	}
+	switch {
+	case k.At == Stamp{}:
+	case since.Age < 0:
+		b.say("the clock went back by %d ms over a restart of the system: health and start times not believed",
+			(k.At.Clock-now.Clock)/placer.Millisecond)
+	default:
+		if since.Jump != 0 {
+			b.say("the clock was set by %+d ms: taken into account", since.Jump/placer.Millisecond)
+		}
+		b.weigh(since, k, machines, fits)
+		b.say("knowledge %d ms old: health counts %.2f, start times %.2f, room %.2f", since.Age/placer.Millisecond,
+			Weight(Health, since.Age), Weight(Starts, since.Age), Weight(Room, since.Age))
+	}
+	if !fits && k.At != (Stamp{}) {
+		b.say("workloads or customers are others than before: start times and losses not believed")
+	}
+	b.sent(now, k, machines, window)
+	return b
+}
+
+func (b *Belief) say(format string, a ...any) { b.Said = append(b.Said, fmt.Sprintf(format, a...)) }
+
+// weigh scales evidence by its age. Times of the earlier life are told by this life's clock.
+func (b *Belief) weigh(since Since, k Kept, machines map[placer.MachineID]Machine, fits bool) {
+	weight := func(kind Kind) float64 { return Weight(kind, since.Age) }
+	if w := weight(Starts); w > 0 && fits {
+		for _, s := range k.Knowledge.Starts { // less sure, not shorter
+			b.Knowledge.Starts = append(b.Knowledge.Starts, placer.StartTimes{Mean: s.Mean, Dev: s.Dev + (1-w)*s.Mean/2})
+		}
+		for _, t := range k.Knowledge.Traits {
+			b.Knowledge.Traits = append(b.Knowledge.Traits, placer.Trait{Lost: t.Lost * weight(Traits), Bar: t.Bar})
+		}
+		b.Knowledge.Full, b.Knowledge.Missed = k.Knowledge.Full*weight(Room), k.Knowledge.Missed*weight(Room)
+	}
+	if weight(Health) == 0 {
+		return
+	}
+	for _, l := range k.Knowledge.Machines {
+		m, there := machines[l.Machine]
+		if !there || m.Start != k.Starts[l.Machine] {
+			continue // it is gone, or was restarted: the evidence was of another
+		}
+		l.Started, l.Cold = m.Started, nil
+		l.Sick *= weight(Health)
+		shift := func(t placer.Time) placer.Time {
+			if t == 0 {
+				return 0
+			}
+			return t + since.Jump
+		}
+		l.RestUntil, l.ShutUntil = shift(l.RestUntil), shift(l.ShutUntil)
+		doubts := l.Doubts
+		l.Doubts = nil
+		if fits && weight(Shuns) > 0 {
+			for _, d := range doubts { // they fade by themselves from their time on
+				l.Doubts = append(l.Doubts, placer.Doubt{Odds: d.Odds, At: shift(d.At)})
+			}
+		}
+		b.Knowledge.Machines = append(b.Knowledge.Machines, l)
+	}
+}
+
+// sent takes over what went to cold machines. It is written down before each of them is sent, which a dying process
+// cannot undo but a dying system can: after one nothing is sent to them for a window, as after a first start. The
+// rules' window is what is kept; what the clock did meanwhile is known, as the system has run on.
+func (b *Belief) sent(now Stamp, k Kept, machines map[placer.MachineID]Machine, window placer.Time) {
+	since := now.From(k.Life)
+	if k.Life == (Stamp{}) || !since.Same {
+		b.say("what was sent to cold machines is not known: they get nothing for %d ms", window/placer.Millisecond)
+		return
+	}
+	b.Knowledge.SentSince = now.Clock - since.Age
+	if b.Knowledge.SentSince > now.Clock-2*window { // the life before it may have sent as well, and wrote it down likewise
+		b.Knowledge.SentSince = now.Clock - 2*window
+	}
+	at := map[placer.MachineID]int{}
+	for i, l := range b.Knowledge.Machines {
+		at[l.Machine] = i
+	}
+	counted := 0
+	sort.Slice(k.Sent, func(i, j int) bool { return k.Sent[i].Machine < k.Sent[j].Machine })
+	for _, s := range k.Sent {
+		m, there := machines[s.Machine]
+		if !there || m.Start != s.Start {
+			continue
+		}
+		var times []placer.Time
+		for _, t := range s.Times {
+			if t += since.Jump; t > now.Clock-2*window {
+				times = append(times, min(t, now.Clock))
+			}
+		}
+		if len(times) == 0 {
+			continue
+		}
+		i, known := at[s.Machine]
+		if !known {
+			i = len(b.Knowledge.Machines)
+			b.Knowledge.Machines = append(b.Knowledge.Machines, placer.Learned{Machine: s.Machine, Started: m.Started})
+		}
+		b.Knowledge.Machines[i].Cold = times
+		counted += len(times)
+	}
+	b.say("%d bids to cold machines in the last %d ms are known: they get what is left", counted, 2*window/placer.Millisecond)
+}
+
+// Ledger follows what is sent to cold machines, to be written down. A machine leaves it once it is warm or gone.
+type Ledger struct {
+	coldFor, window placer.Time
+	sent            map[placer.MachineID]*Sent
+}
+
+func NewLedger(coldFor, window placer.Time) *Ledger {
+	return &Ledger{coldFor: coldFor, window: window, sent: map[placer.MachineID]*Sent{}}
+}
+
+// Note counts one bid or probe that is about to go to a machine. It returns what is to be written down before,
+// and whether anything is.
+func (l *Ledger) Note(now placer.Time, id placer.MachineID, m Machine) (Sent, bool) {
+	if m.Started == 0 || now >= m.Started+l.coldFor {
+		return Sent{}, false
+	}
+	s := l.sent[id]
+	if s == nil || s.Start != m.Start {
+		s = &Sent{Machine: id, Start: m.Start}
+		l.sent[id] = s
+	}
+	for len(s.Times) > 0 && s.Times[0] <= now-2*l.window {
+		s.Times = s.Times[1:]
+	}
+	s.Times = append(s.Times, now)
+	return *s, true
+}
+
+// Carry puts what an earlier life sent into the ledger.
+func (l *Ledger) Carry(b Belief, starts map[placer.MachineID]uint64) {
+	for _, m := range b.Knowledge.Machines {
+		if len(m.Cold) > 0 {
+			l.sent[m.Machine] = &Sent{m.Machine, starts[m.Machine], append([]placer.Time(nil), m.Cold...)}
+		}
+	}
+}
+
+// Drop lets go of machines that are warm or gone and returns them, in order.
+func (l *Ledger) Drop(now placer.Time, machines func(placer.MachineID) (Machine, bool)) []placer.MachineID {
+	var out []placer.MachineID
+	for id, s := range l.sent {
+		if m, there := machines(id); !there || m.Start != s.Start || m.Started == 0 || now >= m.Started+l.coldFor {
+			out = append(out, id)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	for _, id := range out {
+		delete(l.sent, id)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/recall/recall_test.go
@@ -0,0 +1,122 @@
+package recall
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"glenport/placer"
+)
+
+const (
+	sec    = placer.Second
+	window = 3 * sec
+)
+
+// kept is what a placer left at 1,000 s of its clock, 100 s after its system came up: machine m looked sick, rested
+// and had five bids in its cold time.
+func kept() Kept {
+	at := Stamp{Clock: 1000 * sec, Up: 100 * sec, Boot: "b"}
+	return Kept{At: at, Names: []string{"w", "c"}, Starts: map[placer.MachineID]uint64{"m": 7},
+		Life: Stamp{Clock: 950 * sec, Up: 50 * sec, Boot: "b"},
+		Sent: []Sent{{"m", 7, []placer.Time{992 * sec, 998 * sec, 999 * sec}}},
+		Knowledge: placer.Knowledge{Starts: []placer.StartTimes{{Mean: 1000, Dev: 100}},
+			Traits: make([]placer.Trait, 3), Full: 0.8, Missed: 2,
+			Machines: []placer.Learned{{Machine: "m", Started: 900 * sec, Sick: 4, RestUntil: 1004 * sec, Rest: 4 * sec,
+				ShutUntil: 1003 * sec, Doubts: make([]placer.Doubt, 3)}}}}
+}
+
+func TestBelieve(t *testing.T) {
+	boot := func(clock, up placer.Time) Stamp { return Stamp{clock, up, "b"} }
+	for _, tc := range []struct {
+		name   string
+		now    Stamp
+		change func(k *Kept, m map[placer.MachineID]Machine)
+		sick   float64 // of m; -1: nothing is believed of it
+		rest   placer.Time
+		cold   int
+		since  placer.Time // before now, of which all that was sent is known; 0: nothing
+		starts bool
+		said   string
+	}{
+		{"a second later", boot(1001*sec, 101*sec), nil, 4 * math.Exp2(-1.0/60), 1004 * sec, 2, 51 * sec, true, "2 bids to cold machines"},
+		{"a minute later", boot(1060*sec, 160*sec), nil, 2, 1004 * sec, 0, 110 * sec, true, "health counts 0.50"},
+		{"so old that it is ignored", boot(1700*sec, 800*sec), nil, -1, 0, 0, 750 * sec, true, "health counts 0.00"},
+		{"two days old", boot((1000+48*3600)*sec, (100+48*3600)*sec), nil, -1, 0, 0, (50 + 48*3600) * sec, false, "start times 0.00"},
+		{"the clock was set forward", boot(4601*sec, 101*sec), nil, 4 * math.Exp2(-1.0/60), 4604 * sec, 2, 51 * sec, true,
+			"the clock was set by +3600000 ms"},
+		{"the clock was set back", boot(901*sec, 101*sec), nil, 4 * math.Exp2(-1.0/60), 904 * sec, 2, 51 * sec, true, "set by -100000 ms"},
+		{"another boot", Stamp{1060 * sec, 10 * sec, "c"}, nil, 2, 1004 * sec, 0, 0, true, "is not known: they get nothing for 3000 ms"},
+		{"another boot, the clock went back", Stamp{900 * sec, 10 * sec, "c"}, nil, -1, 0, 0, 0, false, "the clock went back by 100000 ms"},
+		{"a machine that restarted meanwhile", boot(1001*sec, 101*sec), func(_ *Kept, m map[placer.MachineID]Machine) {
+			m["m"] = Machine{8, 1000 * sec}
+		}, -1, 0, 0, 51 * sec, true, "0 bids"},
+		{"a machine that is gone", boot(1001*sec, 101*sec), func(_ *Kept, m map[placer.MachineID]Machine) { delete(m, "m") },
+			-1, 0, 0, 51 * sec, true, "0 bids"},
+		{"other workloads", boot(1001*sec, 101*sec), func(k *Kept, _ map[placer.MachineID]Machine) { k.Names[0] = "x" },
+			4 * math.Exp2(-1.0/60), 1004 * sec, 2, 51 * sec, false, "are others than before"},
+		{"nothing was written down", boot(1001*sec, 101*sec), func(k *Kept, _ map[placer.MachineID]Machine) { k.Life = Stamp{} },
+			4 * math.Exp2(-1.0/60), 1004 * sec, 0, 0, true, "is not known"},
+		{"no file, and a log", boot(1001*sec, 101*sec), func(k *Kept, _ map[placer.MachineID]Machine) {
+			k.At, k.Knowledge = Stamp{}, placer.Knowledge{}
+		}, 0, 0, 2, 51 * sec, false, "2 bids"},
+		{"a life that has just begun", boot(951*sec, 51*sec), func(k *Kept, _ map[placer.MachineID]Machine) { k.At = Stamp{} },
+			4, 1004 * sec, 3, 2 * window, true, "3 bids"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			k, machines := kept(), map[placer.MachineID]Machine{"m": {7, 900 * sec}}
+			if tc.change != nil {
+				tc.change(&k, machines)
+			}
+			if tc.name == "a life that has just begun" { // bids of it and of the life before it
+				k.At = k.Life
+				k.Sent[0].Times = []placer.Time{946 * sec, 949 * sec, 951 * sec}
+			}
+			b := Believe(tc.now, k, machines, []string{"w", "c"}, window)
+			sick, rest, cold := -1.0, placer.Time(0), 0
+			for _, l := range b.Knowledge.Machines {
+				sick, rest, cold = l.Sick, l.RestUntil, len(l.Cold)
+				if l.Started != machines[l.Machine].Started {
+					t.Errorf("believed of a start at %d", l.Started)
+				}
+			}
+			if math.Abs(sick-tc.sick) > 0.05 || rest != tc.rest || cold != tc.cold {
+				t.Errorf("sick %.2f, rest until %d, %d cold; want %.2f, %d, %d", sick, rest, cold, tc.sick, tc.rest, tc.cold)
+			}
+			if got := tc.now.Clock - b.Knowledge.SentSince; got != tc.since {
+				t.Errorf("sent is known for %d", got)
+			}
+			if (len(b.Knowledge.Starts) > 0) != tc.starts {
+				t.Errorf("start times %v", b.Knowledge.Starts)
+			}
+			if said := strings.Join(b.Said, "; "); !strings.Contains(said, tc.said) {
+				t.Errorf("said %q", said)
+			}
+		})
+	}
+}
+
+// A machine is written down while it is cold, and let go of when it is warm.
+func TestLedger(t *testing.T) {
+	l := NewLedger(17*sec, window)
+	m := Machine{7, 100 * sec}
+	for i, want := range []int{1, 2, 3, 3} { // the first has left two windows when the fourth goes
+		s, cold := l.Note(101*sec+placer.Time(i)*2*sec+1, "m", m)
+		if !cold || len(s.Times) != want {
+			t.Errorf("%d: %v", i, s)
+		}
+	}
+	if _, cold := l.Note(118*sec, "m", m); cold {
+		t.Error("a warm machine is written down")
+	}
+	if _, cold := l.Note(101*sec, "w", Machine{1, 0}); cold {
+		t.Error("one that started long ago is written down")
+	}
+	at := func(placer.MachineID) (Machine, bool) { return m, true }
+	if got := l.Drop(116*sec, at); len(got) != 0 {
+		t.Error("dropped while cold")
+	}
+	if got := l.Drop(118*sec, at); len(got) != 1 || len(l.sent) != 0 {
+		t.Errorf("%v", got)
+	}
+}
--- a/placer/api.go
+++ b/placer/api.go
@@ -311,3 +311,39 @@
 	Yielding    bool // low gain is pushed back
 	NoRoomShare float64
 }
+
+// Knowledge is what a placer has learned and no list tells. The times are by its clock.
+type Knowledge struct {
+	Machines     []Learned
+	Starts       []StartTimes // by workload
+	Traits       []Trait      // the workloads, then the customers, then no customer
+	Full, Missed float64      // moving share of bids that found no room, and what they would have gained
+	SentSince    Time         // from then on all that was sent to cold machines is known
+}
+
+// Learned is what a placer knows of one start of a machine.
+type Learned struct {
+	Machine   MachineID
+	Started   Time
+	Sick      float64 // log odds
+	RestUntil Time    // a last resort until then; 0: it is not
+	Rest      Time    // how long it is one
+	ShutUntil Time    // out of every draw on its own word
+	Doubts    []Doubt // by trait
+	Cold      []Time  // when bids were sent to it while it was cold, the earliest first
+}
+
+// StartTimes follows how long a yes takes: mean and mean deviation, in tenths of a millisecond.
+type StartTimes struct{ Mean, Dev float64 }
+
+// Trait is a workload or a customer: what some machines may treat unlike the rest.
+type Trait struct {
+	Lost float64 // moving share of bids lost
+	Bar  float64 // log odds from which a machine is taken to shun it
+}
+
+// Doubt is log odds that a machine shuns a trait, as of a time; they fade.
+type Doubt struct {
+	Odds float64
+	At   Time
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -7,6 +7,7 @@
 import (
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 )
 
@@ -43,15 +44,15 @@
 type Placer struct {
 	terms      Terms
 	rng        pcg
-	now, began Time
+	now, began Time // from began on it is known what was sent to cold machines
 	out        []Action
 	machines   map[MachineID]*machine
 	order      []*machine // by id, so that equal events are decided alike
 	services   map[string]*service
 	containers map[ContainerID]*container
-	starts     []startTimes // by workload
+	starts     []StartTimes // by workload
 	held       []float64    // cores asked by own containers, by customer
-	traits     []trait      // the workloads, then the customers, then no customer
+	traits     []Trait      // the workloads, then the customers, then no customer
 	full       float64      // moving share of bids that found no room, and what they would have gained
 	missed     float64
 	watchAt    Time // when the list is to be asked for again; 0: not due
@@ -80,23 +81,11 @@
 	probing   bool
 	heardAt   Time    // last sign of life
 	shutUntil Time    // out of every draw on its own word
-	doubts    []doubt // by trait
+	doubts    []Doubt // by trait
 }
 
-// trait is a workload or a customer: what some machines may treat unlike the rest.
-type trait struct {
-	lost float64 // moving share of bids lost
-	bar  float64 // log odds from which a machine is taken to shun it
-}
-
-// doubt is log odds that a machine shuns a trait, as of a time; they fade.
-type doubt struct {
-	odds float64
-	at   Time
-}
-
-func (d *doubt) now(now Time) float64 {
-	return d.odds * math.Exp(-float64(now-d.at)/float64(shunFades))
+func (d *Doubt) now(now Time) float64 {
+	return d.Odds * math.Exp(-float64(now-d.At)/float64(shunFades))
 }
 
 type room struct{ cores, memory float64 }
@@ -123,14 +112,11 @@
 	used     room
 }
 
-// startTimes follows how long a yes takes: mean and mean deviation.
-type startTimes struct{ mean, dev float64 }
-
 func New(t Terms) *Placer {
 	return &Placer{terms: t, rng: pcg{t.Seed}, machines: map[MachineID]*machine{},
 		services: map[string]*service{}, containers: map[ContainerID]*container{},
-		starts: make([]startTimes, len(t.Workloads)), held: make([]float64, len(t.Customers)),
-		traits: make([]trait, len(t.Workloads)+len(t.Customers)+1), began: -1}
+		starts: make([]StartTimes, len(t.Workloads)), held: make([]float64, len(t.Customers)),
+		traits: make([]Trait, len(t.Workloads)+len(t.Customers)+1), began: -1}
 }
 
 // Handle takes what happened by now and returns what is to be done.
@@ -191,7 +177,7 @@
 	m := p.machines[id]
 	if m == nil {
 		m = &machine{id: id, hash: hash(string(id)), state: Gone, rest: restAtFirst,
-			doubts: make([]doubt, len(p.traits))}
+			doubts: make([]Doubt, len(p.traits))}
 		p.machines[id] = m
 		i := sort.Search(len(p.order), func(i int) bool { return p.order[i].id >= id })
 		p.order = append(p.order, nil)
@@ -530,7 +516,7 @@
 	if c.workload.Effect == AtMostOnce || c.bids >= p.terms.MostBids {
 		return left
 	}
-	return min(left, max(c.workload.HardStop/2, Time(s.mean+4*s.dev)))
+	return min(left, max(c.workload.HardStop/2, Time(s.Mean+4*s.Dev)))
 }
 
 func (p *Placer) confirm(e Placed) {
@@ -544,11 +530,11 @@
 		p.missed -= p.missed / 32
 	}
 	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
-	if s.mean == 0 {
-		s.mean, s.dev = took, took/2
+	if s.Mean == 0 {
+		s.Mean, s.Dev = took, took/2
 	} else {
-		s.dev += (math.Abs(took-s.mean) - s.dev) / 16
-		s.mean += (took - s.mean) / 16
+		s.Dev += (math.Abs(took-s.Mean) - s.Dev) / 16
+		s.Mean += (took - s.Mean) / 16
 	}
 	p.judge(c.at, false)
 	p.weigh(c, c.at, false)
@@ -676,23 +662,23 @@
 		others := 0.0
 		for i := first; i < last; i++ {
 			if i != k {
-				others += p.traits[i].lost / float64(last-first-1)
+				others += p.traits[i].Lost / float64(last-first-1)
 			}
 		}
 		t, d, x := &p.traits[k], &m.doubts[k], math.Log((1-shunOdds)/(1-min(others, shunOdds)))
-		t.lost -= t.lost / 32
+		t.Lost -= t.Lost / 32
 		if lost {
-			t.lost += 1.0 / 32
+			t.Lost += 1.0 / 32
 			x = math.Log(shunOdds / min(max(others, leastLost), shunOdds))
 		}
 		before := d.now(p.now)
-		d.odds, d.at = min(max(0, before+x), 2*sickAt), p.now
-		more := min(max(t.lost-others, 0.01), 0.9)
-		if t.bar = math.Log((1 - more) / more); last-first < 2 {
-			t.bar = math.Inf(1)
+		d.Odds, d.At = min(max(0, before+x), 2*sickAt), p.now
+		more := min(max(t.Lost-others, 0.01), 0.9)
+		if t.Bar = math.Log((1 - more) / more); last-first < 2 {
+			t.Bar = math.Inf(1)
 		}
-		if lost && before < t.bar && d.odds >= t.bar {
-			p.log("machine %s shuns trait %d: log odds %.1f, %.2f lost, others %.2f", m.id, k, d.odds, t.lost, others)
+		if lost && before < t.Bar && d.Odds >= t.Bar {
+			p.log("machine %s shuns trait %d: log odds %.1f, %.2f lost, others %.2f", m.id, k, d.Odds, t.Lost, others)
 		}
 	}
 }
@@ -701,7 +687,7 @@
 // and for lightly doubted machines as soon as the trait loses no more than others.
 func (p *Placer) shuns(m *machine, c *container) bool {
 	for _, k := range p.traitsOf(c) {
-		if d := &m.doubts[k]; d.odds > 0 && d.now(p.now) >= p.traits[k].bar {
+		if d := &m.doubts[k]; d.Odds > 0 && d.now(p.now) >= p.traits[k].Bar {
 			return true
 		}
 	}
@@ -837,6 +823,35 @@
 	return x
 }
 
+// Knows gives what this placer has learned, to be kept for another life of it.
+func (p *Placer) Knows() Knowledge {
+	k := Knowledge{Starts: slices.Clone(p.starts), Traits: slices.Clone(p.traits), Full: p.full,
+		Missed: p.missed, SentSince: p.began}
+	for _, m := range p.order {
+		k.Machines = append(k.Machines, Learned{m.id, m.started, m.sick, m.restUntil, m.rest, m.shutUntil,
+			slices.Clone(m.doubts), slices.Clone(m.coldBids)})
+	}
+	return k
+}
+
+// Recall takes what is believed of an earlier life, after the list as last held and before any ask.
+// What is told of another start of a machine, or does not fit the terms, is passed over.
+func (p *Placer) Recall(k Knowledge) {
+	if len(k.Starts) == len(p.starts) && len(k.Traits) == len(p.traits) {
+		p.starts, p.traits, p.full, p.missed = k.Starts, k.Traits, k.Full, k.Missed
+	}
+	p.began = k.SentSince
+	for _, l := range k.Machines {
+		if m := p.machines[l.Machine]; m != nil && m.listed && m.started == l.Started {
+			m.sick, m.restUntil, m.rest, m.shutUntil = l.Sick, l.RestUntil, max(restAtFirst, l.Rest), l.ShutUntil
+			m.coldBids = append(l.Cold, m.coldBids...)
+			if len(l.Doubts) == len(m.doubts) {
+				m.doubts = l.Doubts
+			}
+		}
+	}
+}
+
 // pcg is a permuted congruential generator of 64 bits of state (RXS M XS).
 type pcg struct{ state uint64 }
 
