A placer keeps what it promised and learned in a state folder

Need: a placer killed in the middle of its work came back with a list alone: it waited seconds before it took numbered or at-most-once work again, left cold machines unused for a window, and had forgotten which bids may run.

Change: the setting `state` names a folder that the placer holds alone. Bids of work that is not reissuable are written before they are sent, at-most-once ones synced; what goes to cold machines is written before it goes. The file of knowledge replaces the kept list, which is still read once. A bid that cannot be written down is not sent. What custody calls lost behind a cut, or stops without hearing of its end, now stays in doubt until its machine tells or is gone.

--- a/internal/api/api_test.go
+++ b/internal/api/api_test.go
@@ -61,7 +61,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(l.Close)
-	s.Door, s.Keep, s.Terms.Placers = "127.0.0.1:0", "", 1
+	s.Door, s.State, s.Terms.Placers = "127.0.0.1:0", "", 1
 	h, err := host.New(s, placer.New(s.Terms), quiet)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -132,12 +132,17 @@
 	}
 	// Adopt takes over what runs.
 	Adopt struct{ Held Held }
-	// Lost says that a placed container is gone with its machine.
-	Lost struct{ ID placer.ContainerID }
+	// Lost says that a placed container is gone with its machine, or, where that is only silent, may be.
+	Lost struct {
+		ID   placer.ContainerID
+		Sure bool
+	}
 	// Reach asks for a link to a machine.
 	Reach struct{ Machine placer.MachineID }
 	// Sure says, once, that all that runs from earlier lives is known, as far as it can be.
 	Sure struct{}
+	// ToldAll says, once, that every machine of the list told, or is gone.
+	ToldAll struct{}
 	// Settled says that nothing waits for a bid's end any more: its record can go.
 	Settled struct{ Held Held }
 	Wake    struct{ After placer.Time }
@@ -154,6 +159,7 @@
 func (Reach) action()   {}
 func (Sure) action()    {}
 func (Settled) action() {}
+func (ToldAll) action() {}
 func (Wake) action()    {}
 func (Log) action()     {}
 
@@ -262,6 +268,8 @@
 			t.do(Settled{a.Held})
 		case recovery.Sure:
 			t.do(Sure{})
+		case recovery.ToldAll:
+			t.do(ToldAll{})
 		}
 	}
 }
@@ -425,7 +433,7 @@
 	}
 	for _, c := range t.runningAt(e.Machine) {
 		if !named[[2]uint64{c.life, c.bid}] {
-			t.do(Lost{c.id})
+			t.do(Lost{c.id, true})
 		}
 	}
 	took := 0
@@ -474,7 +482,7 @@
 	t.do(Log{fmt.Sprintf("machine %s: no link in %d tries, %d containers lost", m, g.tries, len(lost))})
 	delete(t.broken, m)
 	for _, c := range lost {
-		t.do(Lost{c.id})
+		t.do(Lost{c.id, false})
 	}
 	// Behind a cut they run on, and nothing else may call that machine for long: it is asked until it tells, or
 	// until the list says that it is gone.
@@ -512,3 +520,6 @@
 		t.do(Wake{next - t.now})
 	}
 }
+
+// Doubts is the number of keys that wait for a machine's word.
+func (t *Table) Doubts() int { return t.round.Doubts() }
--- a/internal/host/helpers_test.go
+++ b/internal/host/helpers_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"log/slog"
 	"net"
-	"os"
 	"sync"
 	"testing"
 	"time"
@@ -51,7 +50,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Door, s.Keep = "127.0.0.1:0", ""
+	s.Door, s.State = "127.0.0.1:0", ""
 	return s
 }
 
@@ -69,7 +68,7 @@
 
 func run(t *testing.T, s *site.Placer, d Decider) *Host {
 	t.Helper()
-	h, err := New(s, d, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	h, err := New(s, d, discard)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -224,12 +223,7 @@
 	return a
 }
 
-func tempFile(t *testing.T) string {
-	f, err := os.CreateTemp(t.TempDir(), "list")
-	if err != nil {
-		t.Fatal(err)
-	}
-	f.Close()
-	os.Remove(f.Name())
-	return f.Name()
-}
+// site1 is a placer's file, by value where a test changes it.
+type site1 struct{ *site.Placer }
+
+var discard = slog.New(slog.NewTextHandler(io.Discard, nil))
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -52,7 +52,7 @@
 	peers     map[int]*peer             // until their link ends
 	list      listLink
 	routes    *speaker.Speaker // nil where no address is announced
-	keeper    keeper
+	state     *state           // nil where nothing is kept
 	lastBid   uint64
 	lastOwner custody.Caller
 	lastSeq   uint64
@@ -83,6 +83,8 @@
 	sent    bool
 	placed  bool
 	stopped bool // its end was asked for
+	logged  bool // the log holds it
+	unkept  bool // it waits for the log
 }
 
 // New makes the host of one life of a placer and opens its door. Stop or Run to its end frees what it holds.
@@ -95,12 +97,21 @@
 	for _, w := range s.Terms.Workloads {
 		effects = append(effects, w.Effect)
 	}
-	h.custody = custody.New(h.life, s.Bounds, effects, recovery.NoLog)
 	h.meter.init()
 	var err error
 	if h.loop, err = loop.New(h.turn); err != nil {
 		return nil, err
 	}
+	known := recovery.NoLog
+	if s.State != "" {
+		if h.state, err = openState(h); err != nil {
+			h.loop.Stop()
+			h.loop.Run()
+			return nil, err
+		}
+		known = h.state.life.Log
+	}
+	h.custody = custody.New(h.life, s.Bounds, effects, known)
 	if s.BGP != nil {
 		h.routes = speaker.New(h.loop, *s.BGP, log)
 	}
@@ -110,6 +121,7 @@
 	}); err != nil {
 		h.loop.Stop()
 		h.loop.Run()
+		h.closeState()
 		return nil, err
 	}
 	return h, nil
@@ -153,18 +165,24 @@
 func (h *Host) Run() error {
 	h.loop.Post(h.begin)
 	err := h.loop.Run()
-	h.keeper.wait()
+	h.closeState()
 	return err
 }
 
-// begin starts from the list as last held.
+func (h *Host) closeState() {
+	if h.state != nil {
+		h.state.close()
+	}
+}
+
+// begin starts from what earlier lives left.
 func (h *Host) begin() {
 	h.log.Info("placer up", "name", h.site.Name, "door", h.Addr(), "life", h.life)
-	entries, version, err := h.keeper.load(h.site.Keep, h.loop)
-	if err != nil {
-		h.log.Warn("kept list not used", "why", err)
+	if h.state != nil {
+		h.state.begin()
+	} else {
+		h.learn(placer.OldList, 0, nil)
 	}
-	h.learn(placer.OldList, version, entries)
 	h.loop.After(housekeeping, h.keepHouse)
 	if h.routes != nil {
 		if err := h.routes.Start(); err != nil {
@@ -209,6 +227,9 @@
 			h.carry(a)
 		}
 	}
+	if h.state != nil {
+		h.state.turnOver()
+	}
 	if len(h.events)+len(h.told) > 0 {
 		h.loop.Again()
 	}
@@ -276,6 +297,9 @@
 		h.adopt(a.Held)
 	case custody.Lost:
 		if c := h.open[a.ID]; c != nil && c.bid != nil && c.bid.placed {
+			if !a.Sure { // behind a cut it may run on
+				h.unheard(c.bid)
+			}
 			h.over(c.bid, placer.Ended{Outcome: placer.Reset, Over: true})
 		}
 	case custody.Reach:
@@ -288,6 +312,15 @@
 		if h.routes != nil {
 			h.routes.Whole()
 		}
+	case custody.ToldAll:
+		if h.state != nil {
+			h.state.life = h.state.life.Sure()
+			h.state.changes = append(h.state.changes, h.state.lifeChange())
+		}
+	case custody.Settled:
+		if h.state != nil {
+			h.state.drop(BidKind, bidKey(a.Held.Bid))
+		}
 	case custody.Wake:
 		h.loop.After(loop.Tick(a.After), func() { h.tell(custody.Woke{}) })
 	case custody.Log:
@@ -333,7 +366,13 @@
 	c.bid = b
 	c.bids++
 	b.timer = h.loop.After(until-now, func() { h.timedOut(b) })
-	if m.ready {
+	if h.state != nil {
+		if write, sync := h.state.noteBid(b); write {
+			b.unkept = true
+			h.state.after(sync, func(err error) { h.kept(b, err) })
+		}
+	}
+	if m.ready && !b.unkept {
 		m.offer(b)
 		return
 	}
@@ -350,6 +389,20 @@
 	h.reach(m)
 }
 
+// kept lets a bid go that waited for the log. One that could not be written down is never sent.
+func (h *Host) kept(b *bid, err error) {
+	b.unkept = false
+	if err == nil && !b.at.ready || !b.at.forgetWaiting(b) {
+		return
+	}
+	if err == nil {
+		b.at.offer(b)
+		return
+	}
+	h.meter.outcome("not sent")
+	h.over(b, placer.Ended{Outcome: placer.NotSent})
+}
+
 func (h *Host) timedOut(b *bid) {
 	b.timer = nil
 	if !b.sent {
@@ -359,10 +412,16 @@
 	}
 	h.meter.outcome("timed out")
 	b.at.expectLate(b)
-	h.tell(custody.Unheard{Held: b.held()})
+	h.unheard(b)
 	h.over(b, placer.Ended{Outcome: placer.TimedOut})
 }
 
+// unheard leaves it to custody when the log may forget a bid.
+func (h *Host) unheard(b *bid) {
+	h.tell(custody.Unheard{Held: b.held()})
+	b.logged = false
+}
+
 // callOff asks a machine to stop a bid or a container.
 func (h *Host) callOff(b *bid) {
 	b.stopped = true
@@ -387,6 +446,12 @@
 		return
 	}
 	c.bid = nil
+	if b.sent && !b.placed && e.Outcome == placer.Stopped { // the word to stop may come too late
+		h.unheard(b)
+	}
+	if b.logged {
+		h.state.drop(BidKind, bidKey(b.number))
+	}
 	e.ID, e.Bid, e.Machine = c.ask.ID, b.nth, m.id
 	e.Took = placer.Time(h.loop.Now() - b.sentAt)
 	e.Over = e.Over || c.answered
@@ -461,6 +526,12 @@
 	c := &container{ask: held.Ask, answered: true, bids: 1}
 	b := &bid{number: held.Bid, life: held.Life, c: c, at: m, sentAt: h.loop.Now(), sent: true, placed: true}
 	c.bid, m.bids[held.Bid] = b, b
+	if h.state != nil {
+		if write, _ := recovery.Writes(h.site.Terms.Workloads[held.Ask.Workload].Effect); write {
+			b.logged = true
+			h.state.put(BidKind, bidKey(b.number), held)
+		}
+	}
 	h.open[held.Ask.ID] = c
 	h.meter.running++
 	h.meter.adopted++
--- a/internal/host/host_test.go
+++ b/internal/host/host_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"fmt"
 	"net"
-	"os"
 	"strings"
 	"syscall"
 	"testing"
@@ -401,29 +400,6 @@
 	}
 }
 
-// A placer comes back with its last list, the starts of machines as they were, and none where the file is
-// broken.
-func TestKeptList(t *testing.T) {
-	s := terms(t)
-	s.Keep = tempFile(t)
-	r := start(t, s, nil, map[string]string{"a": "127.0.0.1:1", "b": "127.0.0.1:1"})
-	until(t, func() bool {
-		return on1(r.h, func() bool { l, _, err := new(keeper).load(s.Keep, r.h.loop); return err == nil && len(l) == 2 })
-	})
-	second := &script{events: make(chan placer.Event, 1000)}
-	run(t, s, second)
-	if e := await[placer.ListCame](&rig{T: t, script: second}, nil); e.Mode != placer.OldList || len(e.Entries) != 2 {
-		t.Errorf("came back with %+v", e)
-	}
-	data, _ := os.ReadFile(s.Keep)
-	for _, broken := range [][]byte{{}, data[:len(data)/2], append([]byte("x"), data...), []byte("no list at all")} {
-		os.WriteFile(s.Keep, broken, 0o644)
-		if l, _, err := new(keeper).load(s.Keep, r.h.loop); err == nil || l != nil {
-			t.Errorf("%d bytes that are no list are taken for one", len(broken))
-		}
-	}
-}
-
 // The list that names a machine again at the same address with a new start is one start, told once; the same
 // start by another way is none.
 func TestMachineBackWithNewStart(t *testing.T) {
--- /dev/null
+++ b/internal/host/knowledge.go
@@ -0,0 +1,155 @@
+package host
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"os"
+	"sort"
+	"strings"
+
+	"glenport/internal/disk"
+	"glenport/internal/link"
+	"glenport/internal/loop"
+	"glenport/internal/recall"
+	"glenport/internal/store"
+	"glenport/placer"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/sys/unix"
+)
+
+// The file of what a placer has learned. Version 1 was the list alone, without sort, version and checksum, in a file
+// of its own that the setting "keep" named.
+const (
+	KnowledgeName    = "knowledge"
+	KnowledgeSort    = "GLENKNW"
+	KnowledgeVersion = 2
+	knowledgeEvery   = 2 * loop.Second
+)
+
+// Knowledge is what the file holds.
+type Knowledge struct {
+	At        recall.Stamp
+	Names     []string // of workloads and customers, in the order of the terms
+	Learned   placer.Knowledge
+	Starts    map[placer.MachineID]uint64
+	ListIs    int64 // version of the list
+	Entries   []link.Entry
+	AtAnOrder bool // written at an orderly end
+}
+
+// learner is a decider whose knowledge can be kept.
+type learner interface {
+	Knows() placer.Knowledge
+	Recall(placer.Knowledge)
+}
+
+// stamp reads the clocks.
+func stamp(clock placer.Time) recall.Stamp {
+	s := recall.Stamp{Clock: clock}
+	var t unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &t) == nil {
+		s.Up = placer.Time(t.Nano() / 100_000)
+	}
+	if id, err := os.ReadFile("/proc/sys/kernel/random/boot_id"); err == nil {
+		s.Boot = strings.TrimSpace(string(id))
+	}
+	return s
+}
+
+// ReadKnowledge reads the file; nil where there is none.
+func ReadKnowledge(d disk.Folder) (*Knowledge, error) {
+	version, body, err := store.ReadWhole(d, KnowledgeName, KnowledgeSort, KnowledgeVersion)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	k := &Knowledge{}
+	if version != KnowledgeVersion {
+		return nil, &store.Corrupt{File: KnowledgeName, At: 7, Text: fmt.Sprintf("there was no version %d of such a file", version)}
+	}
+	if err := cbor.Unmarshal(body, k); err != nil {
+		return nil, &store.Corrupt{File: KnowledgeName, At: 16, Text: err.Error()}
+	}
+	return k, nil
+}
+
+// readKeptList reads the file of version 1.
+func readKeptList(path string) (*Knowledge, error) {
+	data, err := os.ReadFile(path)
+	if path == "" || errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	if len(data) < 13 || int(binary.BigEndian.Uint32(data[8:])) != len(data)-12 {
+		return nil, fmt.Errorf("%s is cut short or no kept list", path)
+	}
+	f, err := link.Decode(data[12:])
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	listed, ok := f.(*link.Listed)
+	if !ok {
+		return nil, fmt.Errorf("%s holds a %T", path, f)
+	}
+	return &Knowledge{At: recall.Stamp{Clock: placer.Time(binary.BigEndian.Uint64(data))}, ListIs: listed.Version,
+		Entries: listed.Entries}, nil
+}
+
+// aged gives the entries of a kept list as they stand now. A machine whose age is not known counts as just started:
+// it is then spared as a cold one.
+func (k *Knowledge) aged(now recall.Stamp) []link.Entry {
+	since := now.From(k.At)
+	if since.Age >= 0 && recall.Weight(recall.List, since.Age) == 0 {
+		return nil
+	}
+	all := append([]link.Entry(nil), k.Entries...)
+	for i := range all {
+		if e := &all[i]; e.Age >= 0 && since.Age >= 0 {
+			e.Age += link.Span(since.Age)
+		} else if e.Age >= 0 {
+			e.Age = 0
+		}
+	}
+	return all
+}
+
+// known gathers what is to be kept.
+func (h *Host) known(orderly bool) *Knowledge {
+	k := &Knowledge{At: stamp(placer.Time(h.loop.Now())), Names: h.names(), Starts: map[placer.MachineID]uint64{},
+		ListIs: h.list.held.version, AtAnOrder: orderly}
+	for _, e := range h.list.held.entries {
+		if m := h.machines[placer.MachineID(e.Machine)]; m != nil && m.startedAt > 0 {
+			e.Age = link.Span(placer.Time(h.loop.Now()) - m.startedAt)
+		}
+		k.Entries = append(k.Entries, e)
+	}
+	sort.Slice(k.Entries, func(i, j int) bool { return k.Entries[i].Machine < k.Entries[j].Machine })
+	if l, ok := h.decider.(learner); ok {
+		k.Learned = l.Knows()
+		for _, m := range k.Learned.Machines {
+			if at := h.machines[m.Machine]; at != nil {
+				k.Starts[m.Machine] = at.incarnation
+			}
+		}
+	}
+	return k
+}
+
+func (h *Host) names() []string {
+	return append(append([]string{}, h.site.Workloads...), h.site.Customers...)
+}
+
+// write runs on a goroutine of its own: file work must not hold up the loop.
+func (k *Knowledge) write(d disk.Folder) error {
+	body, err := cbor.Marshal(k)
+	if err != nil {
+		return err
+	}
+	return store.WriteWhole(d, KnowledgeName, KnowledgeSort, KnowledgeVersion, body)
+}
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -1,19 +1,13 @@
 package host
 
 import (
-	"encoding/binary"
 	"errors"
 	"fmt"
-	"os"
-	"sort"
-	"sync"
 
 	"glenport/internal/custody"
 	"glenport/internal/link"
 	"glenport/internal/loop"
 	"glenport/placer"
-
-	"github.com/google/renameio/v2"
 )
 
 // listLink is the link to the list of machines. When and how often it is asked the placer module decides.
@@ -22,6 +16,7 @@
 	conn    *loop.Conn
 	reader  link.Reader
 	version int64
+	held    heldList
 	heardAt loop.Tick
 	spokeAt loop.Tick // when a frame of it last came
 	asked   bool      // an answer is due, or changes are: a break is a failed call
@@ -93,7 +88,6 @@
 		}
 		l.version = f.Version
 		l.h.learn(mode, f.Version, f.Entries)
-		l.h.keeper.save(l.h)
 	case *link.Failed:
 		l.h.log.Warn("list call failed", "why", f.Text)
 		l.h.feed(placer.ListCame{Mode: placer.ListFailed})
@@ -154,90 +148,26 @@
 		}
 	}
 	h.feed(e)
-	h.tell(custody.Named{Machines: ids})
-	h.keeper.merge(mode, version, entries)
+	h.tell(custody.Named{Machines: ids, Whole: mode == placer.WholeList})
+	h.list.held.merge(mode, version, entries)
 }
 
-// keeper holds the list as last heard and writes it to a file, whole or not at all, at most once a second.
-type keeper struct {
+// heldList is the list as last heard.
+type heldList struct {
 	entries map[string]link.Entry
 	version int64
-	due     bool
-	writing sync.WaitGroup
 }
 
-func (k *keeper) merge(mode placer.ListMode, version int64, entries []link.Entry) {
-	if k.entries == nil || mode != placer.Changes {
-		k.entries = map[string]link.Entry{}
+func (l *heldList) merge(mode placer.ListMode, version int64, entries []link.Entry) {
+	if l.entries == nil || mode != placer.Changes {
+		l.entries = map[string]link.Entry{}
 	}
-	k.version = version
+	l.version = version
 	for _, e := range entries {
 		if e.State == link.Gone {
-			delete(k.entries, e.Machine)
+			delete(l.entries, e.Machine)
 		} else {
-			k.entries[e.Machine] = e
-		}
-	}
-}
-
-func (k *keeper) save(h *Host) {
-	if k.due || h.site.Keep == "" {
-		return
-	}
-	k.due = true
-	h.loop.After(loop.Second, func() {
-		k.due = false
-		f := &link.Listed{Whole: true, Version: k.version}
-		for _, e := range k.entries {
-			if m := h.machines[placer.MachineID(e.Machine)]; m != nil && m.startedAt > 0 {
-				e.Age = link.Span(placer.Time(h.loop.Now()) - m.startedAt)
-			}
-			f.Entries = append(f.Entries, e)
-		}
-		sort.Slice(f.Entries, func(i, j int) bool { return f.Entries[i].Machine < f.Entries[j].Machine })
-		data, err := link.Append(binary.BigEndian.AppendUint64(nil, uint64(h.loop.Now())), f)
-		if err != nil {
-			h.log.Error("list not kept", "why", err)
-			return
-		}
-		k.writing.Go(func() { // file work must not hold up the loop
-			if err := renameio.WriteFile(h.site.Keep, data, 0o644); err != nil {
-				h.loop.Post(func() { h.log.Warn("list not kept", "why", err) })
-			}
-		})
-	})
-}
-
-func (k *keeper) wait() { k.writing.Wait() }
-
-// load reads the kept list; ages have grown since.
-func (k *keeper) load(path string, l *loop.Loop) ([]link.Entry, int64, error) {
-	if path == "" {
-		return nil, 0, nil
-	}
-	data, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil, 0, nil
-	}
-	if err != nil {
-		return nil, 0, err
-	}
-	if len(data) < 13 || int(binary.BigEndian.Uint32(data[8:])) != len(data)-12 {
-		return nil, 0, fmt.Errorf("%s is cut short or no kept list", path)
-	}
-	f, err := link.Decode(data[12:])
-	if err != nil {
-		return nil, 0, fmt.Errorf("%s: %w", path, err)
-	}
-	listed, ok := f.(*link.Listed)
-	if !ok {
-		return nil, 0, fmt.Errorf("%s holds a %T", path, f)
-	}
-	since := max(0, l.Now()-loop.Tick(binary.BigEndian.Uint64(data)))
-	for i := range listed.Entries {
-		if e := &listed.Entries[i]; e.Age >= 0 {
-			e.Age += link.Span(since)
+			l.entries[e.Machine] = e
 		}
 	}
-	return listed.Entries, listed.Version, nil
 }
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -34,6 +34,7 @@
 type probing struct {
 	seq    uint64
 	sent   bool
+	unkept bool // it waits for the log
 	timer  *loop.Timer
 	sentAt loop.Tick
 }
@@ -108,7 +109,7 @@
 	for _, b := range ordered(m.bids) {
 		if !b.placed {
 			m.h.meter.outcome("reset")
-			m.h.tell(custody.Unheard{Held: b.held()})
+			m.h.unheard(b)
 			m.h.over(b, placer.Ended{Outcome: placer.Reset})
 		}
 	}
@@ -226,10 +227,14 @@
 	waiting := m.waiting
 	m.waiting = nil
 	for _, b := range waiting {
-		m.offer(b)
+		if b.unkept {
+			m.waiting = append(m.waiting, b)
+		} else {
+			m.offer(b)
+		}
 	}
 	for _, p := range m.probes {
-		if !p.sent {
+		if !p.sent && !p.unkept {
 			p.sent = m.write(&link.Probe{Seq: p.seq})
 		}
 	}
@@ -285,10 +290,23 @@
 	p := &probing{seq: h.lastSeq, sentAt: h.loop.Now()}
 	m.probes[p.seq] = p
 	p.timer = h.loop.After(probeWithin, func() { m.probed(p, placer.TimedOut, nil) })
+	if h.state != nil && h.state.noteSend(m) {
+		p.unkept = true
+		h.state.after(false, func(err error) {
+			if p.unkept = false; err == nil && m.probes[p.seq] == p {
+				m.sendProbe(p)
+			}
+		})
+		return
+	}
+	m.sendProbe(p)
+}
+
+func (m *machine) sendProbe(p *probing) {
 	if m.ready {
 		p.sent = m.write(&link.Probe{Seq: p.seq})
 	} else {
-		h.reach(m)
+		m.h.reach(m)
 	}
 }
 
--- /dev/null
+++ b/internal/host/state.go
@@ -0,0 +1,269 @@
+package host
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+
+	"glenport/internal/custody"
+	"glenport/internal/disk"
+	"glenport/internal/link"
+	"glenport/internal/recall"
+	"glenport/internal/recovery"
+	"glenport/internal/store"
+	"glenport/placer"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Kinds of what a placer's log holds.
+const (
+	BidKind  = "bid"  // by number: one that is out or runs, of work that is not reissuable
+	SentKind = "sent" // by machine: when bids went to it while it was cold
+	LifeKind = "life"
+)
+
+const lifeKey = "this"
+
+// state is what a placer keeps on disk. The changes of one turn are one commit; what waits for it is done when it
+// is written, or on disk, as recovery decides by the work's effect.
+type state struct {
+	h       *Host
+	dir     *disk.Dir
+	log     *store.Store
+	life    recall.Life
+	before  recall.Life // what the folder said
+	kept    *Knowledge
+	sent    []recall.Sent
+	ledger  *recall.Ledger
+	bids    []custody.Held // of earlier lives, without an end
+	changes []store.Change // of this turn
+	durable bool
+	then    []func(error)
+	begun   bool
+	saving  bool
+	working sync.WaitGroup
+}
+
+// openState reads a folder and writes down that this life begins. What it cannot read or hold stops the start.
+func openState(h *Host) (*state, error) {
+	s := &state{h: h, ledger: recall.NewLedger(h.site.Terms.ColdFor, h.site.Terms.ColdWindow)}
+	var err error
+	if s.dir, err = disk.Open(h.site.State); err != nil {
+		return nil, err
+	}
+	fail := func(err error) (*state, error) {
+		s.dir.Close()
+		return nil, fmt.Errorf("state folder %s: %w", h.site.State, err)
+	}
+	var figures store.Figures
+	if s.log, figures, err = store.Open(s.dir, store.Terms{OnMode: func(text string, a ...any) {
+		h.loop.Post(func() { h.log.Warn(text, a...) })
+	}}); err != nil {
+		return fail(err)
+	}
+	if err := s.read(); err != nil {
+		s.log.Close()
+		return fail(err)
+	}
+	now := stamp(placer.Time(h.loop.Now()))
+	s.life = s.before.Next(now)
+	written := make(chan error, 1)
+	s.log.Commit([]store.Change{s.lifeChange()}, true, func(err error) { written <- err })
+	if err := <-written; err != nil {
+		s.log.Close()
+		return fail(err)
+	}
+	h.log.Info("state read", "folder", h.site.State, "records", figures.Records, "groups", figures.Groups, "bytes", figures.Bytes,
+		"cut off", figures.CutOff, "bids that may run", len(s.bids), "log", s.life.Log)
+	return s, nil
+}
+
+func (s *state) lifeChange() store.Change { return change(LifeKind, lifeKey, s.life) }
+
+// read takes out of the log what this life needs of the earlier ones.
+func (s *state) read() (err error) {
+	from := s.log.State()
+	if err = from.Each(LifeKind, func(_ string, v []byte) error { return cbor.Unmarshal(v, &s.before) }); err != nil {
+		return err
+	}
+	if err = from.Each(BidKind, func(_ string, v []byte) error {
+		var held custody.Held
+		err := cbor.Unmarshal(v, &held)
+		s.bids = append(s.bids, held)
+		return err
+	}); err != nil {
+		return err
+	}
+	if err = from.Each(SentKind, func(_ string, v []byte) error {
+		var sent recall.Sent
+		err := cbor.Unmarshal(v, &sent)
+		s.sent = append(s.sent, sent)
+		return err
+	}); err != nil {
+		return err
+	}
+	// Knowledge is no promise: a file that cannot be read is told and left, and the placer learns anew. One from
+	// a later glenport is left alone.
+	var newer *store.Newer
+	if s.kept, err = ReadKnowledge(s.dir); errors.As(err, &newer) {
+		return err
+	} else if err != nil {
+		s.h.log.Warn("knowledge not used", "why", err)
+	} else if s.kept == nil {
+		if s.kept, err = readKeptList(s.h.site.Keep); err != nil {
+			s.h.log.Warn("kept list not used", "why", err)
+		} else if s.kept != nil {
+			s.h.log.Info("kept list read, from now on it is in the state folder", "file", s.h.site.Keep)
+		}
+	}
+	return nil
+}
+
+func change(kind, key string, value any) store.Change {
+	v, err := cbor.Marshal(value)
+	if err != nil {
+		panic(err) // the types here always encode
+	}
+	return store.Change{Kind: kind, Key: key, Value: v}
+}
+
+// begin hands over what earlier lives left: the list and what was learned to the module, bids to custody.
+func (s *state) begin() {
+	h := s.h
+	now := stamp(placer.Time(h.loop.Now()))
+	for _, b := range s.bids {
+		h.tell(custody.Logged{Held: b})
+	}
+	s.begun = true
+	kept := recall.Kept{Life: s.before, Sent: s.sent}
+	var version int64
+	var entries []link.Entry
+	if k := s.kept; k != nil {
+		kept.At, kept.Knowledge, kept.Starts, kept.Names = k.At, k.Learned, k.Starts, k.Names
+		version, entries = k.ListIs, k.aged(now)
+		if len(entries) < len(k.Entries) {
+			h.log.Info("list of machines not used", "why", "it is too old", "machines", len(k.Entries))
+		}
+	}
+	h.learn(placer.OldList, version, entries)
+	h.turn() // the module has to know the machines first
+	l, ok := h.decider.(learner)
+	if !ok {
+		return
+	}
+	machines, starts := map[placer.MachineID]recall.Machine{}, map[placer.MachineID]uint64{}
+	for id, m := range h.machines {
+		machines[id], starts[id] = recall.Machine{Start: m.incarnation, Started: m.startedAt}, m.incarnation
+	}
+	b := recall.Believe(now, kept, machines, h.names(), h.site.Terms.ColdWindow)
+	l.Recall(b.Knowledge)
+	s.ledger.Carry(b, starts)
+	for _, m := range b.Knowledge.Machines { // by this life's clock
+		if len(m.Cold) > 0 {
+			s.put(SentKind, string(m.Machine), recall.Sent{Machine: m.Machine, Start: starts[m.Machine], Times: m.Cold})
+		}
+	}
+	for _, text := range b.Said {
+		h.log.Info("recall", "text", text)
+	}
+	s.bids, s.sent, s.kept = nil, nil, nil
+	h.loop.After(knowledgeEvery, s.save)
+}
+
+func (s *state) put(kind, key string, value any) {
+	s.changes = append(s.changes, change(kind, key, value))
+}
+
+func (s *state) drop(kind, key string) {
+	s.changes = append(s.changes, store.Change{Kind: kind, Key: key})
+}
+
+// after runs f on the loop once the changes of this turn are written, or on disk.
+func (s *state) after(sync bool, f func(error)) {
+	s.durable = s.durable || sync
+	s.then = append(s.then, f)
+}
+
+// turnOver commits what the turn changed.
+func (s *state) turnOver() {
+	if len(s.changes) == 0 && len(s.then) == 0 {
+		return
+	}
+	then := s.then
+	s.log.Commit(s.changes, s.durable, func(err error) {
+		if len(then) == 0 {
+			return
+		}
+		s.h.loop.Post(func() {
+			for _, f := range then {
+				f(err)
+			}
+		})
+	})
+	s.changes, s.then, s.durable = nil, nil, false
+}
+
+func bidKey(number uint64) string { return fmt.Sprintf("%016x", number) }
+
+// noteBid puts into the log what must be there before a bid is sent; whether that is anything, and whether on disk.
+func (s *state) noteBid(b *bid) (write, sync bool) {
+	if write, sync = recovery.Writes(s.h.site.Terms.Workloads[b.c.ask.Workload].Effect); write {
+		b.logged = true
+		s.put(BidKind, bidKey(b.number), b.held())
+	}
+	return s.noteSend(b.at) || write, sync
+}
+
+// noteSend counts what goes to a cold machine.
+func (s *state) noteSend(m *machine) bool {
+	sent, cold := s.ledger.Note(placer.Time(s.h.loop.Now()), m.id, recall.Machine{Start: m.incarnation, Started: m.startedAt})
+	if cold {
+		s.put(SentKind, string(m.id), sent)
+	}
+	return cold
+}
+
+// save writes what was learned, and lets go of machines that are warm.
+func (s *state) save() {
+	h := s.h
+	h.loop.After(knowledgeEvery, s.save)
+	for _, id := range s.ledger.Drop(placer.Time(h.loop.Now()), func(id placer.MachineID) (recall.Machine, bool) {
+		m := h.machines[id]
+		if m == nil {
+			return recall.Machine{}, false
+		}
+		return recall.Machine{Start: m.incarnation, Started: m.startedAt}, true
+	}) {
+		s.drop(SentKind, string(id))
+	}
+	if s.saving {
+		return
+	}
+	s.saving = true
+	k := h.known(false)
+	s.working.Go(func() {
+		err := k.write(s.dir)
+		h.loop.Post(func() {
+			s.saving = false
+			if err != nil {
+				h.log.Warn("knowledge not kept", "why", err)
+			}
+		})
+	})
+}
+
+// close keeps what is left to keep. The loop runs no more.
+func (s *state) close() {
+	s.turnOver()
+	s.working.Wait()
+	if s.begun { // or it has nothing better to keep than what is there
+		if err := s.h.known(true).write(s.dir); err != nil {
+			s.h.log.Warn("knowledge not kept", "why", err)
+		}
+	}
+	if err := s.log.Close(); err != nil {
+		s.h.log.Error("state not kept", "why", err)
+	}
+	s.dir.Close()
+}
--- /dev/null
+++ b/internal/host/state_test.go
@@ -0,0 +1,244 @@
+package host
+
+import (
+	"encoding/binary"
+	"errors"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"glenport/internal/disk"
+	"glenport/internal/link"
+	"glenport/internal/store"
+	"glenport/placer"
+)
+
+// learned is a script that has learned something.
+type learned struct {
+	*script
+	knows    placer.Knowledge
+	recalled chan placer.Knowledge
+}
+
+func (l *learned) Knows() placer.Knowledge   { return l.knows }
+func (l *learned) Recall(k placer.Knowledge) { l.recalled <- k }
+
+func learning(k placer.Knowledge) *learned {
+	return &learned{&script{events: make(chan placer.Event, 10_000)}, k, make(chan placer.Knowledge, 1)}
+}
+
+// live runs one life of a placer until it is stopped, or leaves it as kill -9 would where its state is copied first.
+func live(t *testing.T, s site1, d Decider, f func(*Host)) {
+	t.Helper()
+	h, err := New(s.Placer, d, discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- h.Run() }()
+	f(h)
+	h.Stop()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// A placer comes back with its last list and what it learned, and without what no longer counts.
+func TestComesBack(t *testing.T) {
+	s := site1{terms(t)}
+	s.State = t.TempDir()
+	s.ListAddr = listing(t, map[string]string{"a": "127.0.0.1:1", "b": "127.0.0.1:1"})
+	first := learning(placer.Knowledge{Machines: []placer.Learned{{Machine: "a", Sick: 4}, {Machine: "gone", Sick: 4}}})
+	live(t, s, first, func(h *Host) {
+		h.loop.Post(func() { h.watch(&link.Watch{On: true}) })
+		await[placer.ListCame](&rig{T: t, script: first.script}, func(e placer.ListCame) bool { return e.Mode != placer.OldList })
+	})
+	second := learning(placer.Knowledge{})
+	live(t, s, second, func(*Host) {
+		if e := await[placer.ListCame](&rig{T: t, script: second.script}, nil); e.Mode != placer.OldList || len(e.Entries) != 2 {
+			t.Errorf("came back with %+v", e)
+		}
+		k := <-second.recalled
+		if len(k.Machines) != 1 || k.Machines[0].Machine != "a" || k.Machines[0].Sick < 3.5 || k.Machines[0].Sick > 4 {
+			t.Errorf("recalled %+v", k.Machines)
+		}
+	})
+	name := filepath.Join(s.State, KnowledgeName)
+	data, _ := os.ReadFile(name)
+	flipped := append([]byte(nil), data...)
+	flipped[len(flipped)/2] ^= 1
+	for _, broken := range [][]byte{{}, data[:len(data)/2], append([]byte("x"), data...), flipped} { // told, and left
+		os.WriteFile(name, broken, 0o644)
+		third := learning(placer.Knowledge{})
+		live(t, s, third, func(*Host) {
+			if e := await[placer.ListCame](&rig{T: t, script: third.script}, nil); len(e.Entries) != 0 {
+				t.Errorf("%d bytes that are no knowledge are taken for it", len(broken))
+			}
+		})
+	}
+	d, err := disk.Open(s.State)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.WriteWhole(d, KnowledgeName, KnowledgeSort, KnowledgeVersion+1, nil); err != nil {
+		t.Fatal(err)
+	}
+	d.Close()
+	var newer *store.Newer
+	if _, err := New(s.Placer, learning(placer.Knowledge{}), discard); !errors.As(err, &newer) {
+		t.Errorf("a file from later: %v", err)
+	}
+}
+
+// The file of an earlier version, the list alone, is read once.
+func TestUpgrade(t *testing.T) {
+	s := site1{terms(t)}
+	s.State, s.Keep = t.TempDir(), filepath.Join(t.TempDir(), "list")
+	data, err := link.Append(binary.BigEndian.AppendUint64(nil, 1000), &link.Listed{Whole: true, Version: 7,
+		Entries: []link.Entry{{Machine: "a", Addr: "127.0.0.1:1", Age: 50}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	// It is older than a day, and no longer believed; one of today is.
+	for name, at := range map[string]uint64{"old": 1000, "new": 0} {
+		if name == "new" {
+			live(t, site1{terms(t)}, &script{events: make(chan placer.Event, 10)}, func(h *Host) { at = uint64(h.loop.Now()) })
+		}
+		binary.BigEndian.PutUint64(data, at)
+		os.WriteFile(s.Keep, data, 0o644)
+		s.State = t.TempDir()
+		d := learning(placer.Knowledge{})
+		live(t, s, d, func(*Host) {
+			if e := await[placer.ListCame](&rig{T: t, script: d.script}, nil); (len(e.Entries) == 1) != (name == "new") {
+				t.Errorf("%s: %+v", name, e)
+			}
+		})
+	}
+}
+
+// A crash between a bid and its end: the next life knows that it may run, asks its machine first, and takes it over
+// or lets its key out again by the machine's word. What is reissuable is not written down.
+func TestBidAndCrash(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		workload int
+		runs     bool
+		logged   int
+		want     link.Verdict
+	}{
+		{"at-most-once, and it runs", 2, true, 1, link.Placed},
+		{"at-most-once, and it does not", 2, false, 1, link.GivenUp}, // the script gives up what it is asked
+		{"numbered, and it runs", 1, true, 1, link.Placed},
+		{"reissuable", 0, false, 0, link.GivenUp},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			offered := make(chan *link.Offer, 1)
+			silent := machineThat(t, "a", &link.Holds{}, func(c net.Conn, f link.Frame) bool {
+				if o, ok := f.(*link.Offer); ok {
+					offered <- o
+				}
+				return true
+			})
+			s := terms(t)
+			s.State = t.TempDir()
+			r := start(t, s, func(e placer.Event) []placer.Action {
+				if e, ok := e.(placer.Asked); ok {
+					return []placer.Action{placer.Bid{ID: e.ID, Machine: "a"}}
+				}
+				return nil
+			}, map[string]string{"a": silent})
+			r.door.submit("x", tc.workload)
+			o := <-offered
+			crashed := t.TempDir() // the folder as a kill -9 leaves it
+			if err := os.CopyFS(crashed, os.DirFS(s.State)); err != nil {
+				t.Fatal(err)
+			}
+			held := &link.Holds{}
+			if tc.runs {
+				held.Held = []link.Holding{{Life: r.h.life, Bid: o.Bid, Running: true, Work: o.Work}}
+			}
+			tell := make(chan bool)
+			mute := serve(t, func(c net.Conn) { // greets when it is told to
+				if _, err := link.Read(c, link.MostFrame); err != nil {
+					return
+				}
+				<-tell
+				put(c, link.Greeting(link.Machine, "a", 1), held)
+				link.Read(c, link.MostFrame)
+			})
+			s2 := terms(t)
+			s2.State, s2.Connect = crashed, 100_000
+			give := func(e placer.Event) []placer.Action {
+				if e, ok := e.(placer.Asked); ok {
+					return []placer.Action{placer.GiveUp{ID: e.ID}}
+				}
+				return nil
+			}
+			next := start(t, s2, give, map[string]string{"a": mute})
+			if n := on1(next.h, func() int { return next.h.custody.Doubts() }); n != tc.logged {
+				t.Errorf("%d bids are known to be without an end", n)
+			}
+			ask := func() *link.Answer {
+				put(next.door.Conn, &link.Submit{Left: 60000, Work: link.Work{Container: "y", Key: "k-x", Service: "s", Workload: tc.workload,
+					Cores: 1, Memory: 1, Again: true}})
+				return next.door.answer()
+			}
+			if tc.logged > 0 {
+				if a := ask(); a.Verdict != link.TurnedAway || !strings.Contains(a.Text, "may run on machine a") {
+					t.Errorf("asked again before the machine told: %+v", a)
+				}
+			}
+			close(tell)
+			until(t, func() bool { return on1(next.h, func() bool { return next.h.custody.Doubts() == 0 }) })
+			if a := ask(); a.Verdict != tc.want {
+				t.Errorf("asked again when it had told: %+v", a)
+			}
+		})
+	}
+}
+
+// What must be written down and cannot be is not sent; other work goes on.
+func TestFullDisk(t *testing.T) {
+	offered := make(chan string, 10)
+	addr := machineThat(t, "a", &link.Holds{}, func(c net.Conn, f link.Frame) bool {
+		if o, ok := f.(*link.Offer); ok {
+			offered <- o.Work.Container
+		}
+		return true
+	})
+	s := terms(t)
+	s.State = t.TempDir()
+	r := start(t, s, func(e placer.Event) []placer.Action {
+		if e, ok := e.(placer.Asked); ok {
+			return []placer.Action{placer.Bid{ID: e.ID, Machine: "a"}}
+		}
+		return nil
+	}, map[string]string{"a": addr})
+	on1(r.h, func() bool { r.h.state.log.Close(); return true }) // nothing more is taken
+	r.door.submit("once", 2)
+	if e := await[placer.Ended](r, nil); e.Outcome != placer.NotSent || e.ID != "once" {
+		t.Errorf("%+v", e)
+	}
+	r.door.submit("again", 0)
+	if got := <-offered; got != "again" {
+		t.Errorf("%s was sent", got)
+	}
+}
+
+// A folder that another instance holds, or that cannot be written, stops the start with a word.
+func TestFolder(t *testing.T) {
+	s := site1{terms(t)}
+	s.State = t.TempDir()
+	live(t, s, learning(placer.Knowledge{}), func(*Host) {
+		var owned *disk.Owned
+		if _, err := New(s.Placer, learning(placer.Knowledge{}), discard); !errors.As(err, &owned) {
+			t.Errorf("%v", err)
+		}
+	})
+	s.State = filepath.Join(s.State, KnowledgeName, "below a file")
+	if _, err := New(s.Placer, learning(placer.Knowledge{}), discard); err == nil {
+		t.Error("a folder that cannot be is opened")
+	}
+}
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -241,7 +241,7 @@
 			return nil, err
 		}
 		if _, err = placerFile(template, p.file, d.Extra, map[string]any{"name": p.Name, "number": i, "placers": d.Placers,
-			"seed": int(d.Seed) + i, "door": p.Door, "keep": filepath.Join(dir, p.Name+".list"),
+			"seed": int(d.Seed) + i, "door": p.Door, "state": filepath.Join(dir, p.Name+".state"),
 			"list": map[string]any{"address": listTap}}); err != nil {
 			return nil, err
 		}
--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -195,7 +195,7 @@
 	}
 	b.placer = p
 	if _, err := placerFile(text, p.file, nil, map[string]any{"name": "measured", "number": 0, "placers": 1, "door": p.Door,
-		"keep": filepath.Join(dir, "list"), "list": map[string]any{"address": b.list.Addr().String()},
+		"state": filepath.Join(dir, "state"), "list": map[string]any{"address": b.list.Addr().String()},
 		"links":  map[string]any{"close_idle_after": "10min"},
 		"bounds": map[string]any{"open_containers": 1000000, "open_containers_of_one_owner": 1000000}}); err != nil {
 		return nil, err
--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -8,6 +8,7 @@
 	"math"
 	"sort"
 
+	"glenport/internal/recovery"
 	"glenport/placer"
 )
 
@@ -101,8 +102,34 @@
 	Starts    map[placer.MachineID]uint64 // which start of each machine it knew
 	Names     []string                    // of workloads and customers, in the order of its terms
 
-	Life Stamp  // the start of the last life that wrote down what it sent; zero: none did
-	Sent []Sent // all of it, if the system has run on
+	Life Life
+	Sent []Sent // all that was sent since the life began, if the system has run on
+}
+
+// Life is what a placer writes down when it comes up.
+type Life struct {
+	Whole Stamp        // from then on every life has written down what it sent; zero: none did
+	Log   recovery.Log // how much is known of the bids of lives before it
+}
+
+// Next tells what a life that begins writes down and goes by. Over a restart of the system what was written and not
+// synced may be lost, and what was not known before is no better known by another start: it stays so until every
+// machine told.
+func (l Life) Next(now Stamp) Life {
+	since := now.From(l.Whole)
+	switch {
+	case l.Whole == Stamp{}:
+		return Life{Whole: now}
+	case !since.Same:
+		return Life{Whole: now, Log: min(l.Log, recovery.Synced)}
+	}
+	return Life{Whole: Stamp{now.Clock - since.Age, now.Up - since.Age, now.Boot}, Log: l.Log}
+}
+
+// Sure is the life once every machine told what it holds.
+func (l Life) Sure() Life {
+	l.Log = recovery.Written
+	return l
 }
 
 // Machine is one of the list as last heard, as it stands in this life.
@@ -191,15 +218,12 @@
 // cannot undo but a dying system can: after one nothing is sent to them for a window, as after a first start. The
 // rules' window is what is kept; what the clock did meanwhile is known, as the system has run on.
 func (b *Belief) sent(now Stamp, k Kept, machines map[placer.MachineID]Machine, window placer.Time) {
-	since := now.From(k.Life)
-	if k.Life == (Stamp{}) || !since.Same {
+	since := now.From(k.Life.Whole)
+	if k.Life.Whole == (Stamp{}) || !since.Same {
 		b.say("what was sent to cold machines is not known: they get nothing for %d ms", window/placer.Millisecond)
 		return
 	}
 	b.Knowledge.SentSince = now.Clock - since.Age
-	if b.Knowledge.SentSince > now.Clock-2*window { // the life before it may have sent as well, and wrote it down likewise
-		b.Knowledge.SentSince = now.Clock - 2*window
-	}
 	at := map[placer.MachineID]int{}
 	for i, l := range b.Knowledge.Machines {
 		at[l.Machine] = i
--- a/internal/recall/recall_test.go
+++ b/internal/recall/recall_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 
+	"glenport/internal/recovery"
 	"glenport/placer"
 )
 
@@ -18,7 +19,7 @@
 func kept() Kept {
 	at := Stamp{Clock: 1000 * sec, Up: 100 * sec, Boot: "b"}
 	return Kept{At: at, Names: []string{"w", "c"}, Starts: map[placer.MachineID]uint64{"m": 7},
-		Life: Stamp{Clock: 950 * sec, Up: 50 * sec, Boot: "b"},
+		Life: Life{Whole: Stamp{Clock: 950 * sec, Up: 50 * sec, Boot: "b"}},
 		Sent: []Sent{{"m", 7, []placer.Time{992 * sec, 998 * sec, 999 * sec}}},
 		Knowledge: placer.Knowledge{Starts: []placer.StartTimes{{Mean: 1000, Dev: 100}},
 			Traits: make([]placer.Trait, 3), Full: 0.8, Missed: 2,
@@ -55,13 +56,13 @@
 			-1, 0, 0, 51 * sec, true, "0 bids"},
 		{"other workloads", boot(1001*sec, 101*sec), func(k *Kept, _ map[placer.MachineID]Machine) { k.Names[0] = "x" },
 			4 * math.Exp2(-1.0/60), 1004 * sec, 2, 51 * sec, false, "are others than before"},
-		{"nothing was written down", boot(1001*sec, 101*sec), func(k *Kept, _ map[placer.MachineID]Machine) { k.Life = Stamp{} },
+		{"nothing was written down", boot(1001*sec, 101*sec), func(k *Kept, _ map[placer.MachineID]Machine) { k.Life = Life{} },
 			4 * math.Exp2(-1.0/60), 1004 * sec, 0, 0, true, "is not known"},
 		{"no file, and a log", boot(1001*sec, 101*sec), func(k *Kept, _ map[placer.MachineID]Machine) {
 			k.At, k.Knowledge = Stamp{}, placer.Knowledge{}
 		}, 0, 0, 2, 51 * sec, false, "2 bids"},
 		{"a life that has just begun", boot(951*sec, 51*sec), func(k *Kept, _ map[placer.MachineID]Machine) { k.At = Stamp{} },
-			4, 1004 * sec, 3, 2 * window, true, "3 bids"},
+			4, 1004 * sec, 3, sec, true, "3 bids"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			k, machines := kept(), map[placer.MachineID]Machine{"m": {7, 900 * sec}}
@@ -69,7 +70,7 @@
 				tc.change(&k, machines)
 			}
 			if tc.name == "a life that has just begun" { // bids of it and of the life before it
-				k.At = k.Life
+				k.At = k.Life.Whole
 				k.Sent[0].Times = []placer.Time{946 * sec, 949 * sec, 951 * sec}
 			}
 			b := Believe(tc.now, k, machines, []string{"w", "c"}, window)
@@ -96,6 +97,33 @@
 	}
 }
 
+// Two crashes in a row: what the first lost is not known by the second start.
+func TestLives(t *testing.T) {
+	b1 := func(s placer.Time) Stamp { return Stamp{1000*sec + s*sec, s * sec, "b1"} }
+	b2 := func(s placer.Time) Stamp { return Stamp{2000*sec + s*sec, s * sec, "b2"} }
+	first := Life{}.Next(b1(5))
+	for _, tc := range []struct {
+		name  string
+		got   Life
+		whole Stamp
+		log   recovery.Log
+	}{
+		{"the first start", first, b1(5), recovery.NoLog},
+		{"another before any machine told", first.Next(b1(9)), b1(5), recovery.NoLog},
+		{"another after", first.Sure().Next(b1(9)), b1(5), recovery.Written},
+		{"the system started anew", first.Sure().Next(b2(3)), b2(3), recovery.Synced},
+		{"and the placer again", first.Sure().Next(b2(3)).Next(b2(4)), b2(3), recovery.Synced},
+		{"and after all told", first.Sure().Next(b2(3)).Sure().Next(b2(4)), b2(3), recovery.Written},
+		{"the clock was set back a minute", first.Next(Stamp{945 * sec, 9 * sec, "b1"}), Stamp{941 * sec, 5 * sec, "b1"}, recovery.NoLog},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if tc.got.Whole != tc.whole || tc.got.Log != tc.log {
+				t.Errorf("%+v", tc.got)
+			}
+		})
+	}
+}
+
 // A machine is written down while it is cold, and let go of when it is warm.
 func TestLedger(t *testing.T) {
 	l := NewLedger(17*sec, window)
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -36,6 +36,8 @@
 	Written     // every bid of work that is not reissuable was written, and the system has run on since
 )
 
+func (l Log) String() string { return [...]string{"none", "synced", "whole"}[l] }
+
 // Event is something that happened.
 type Event interface{ event() }
 
@@ -83,11 +85,21 @@
 	Settled struct{ Held Held }
 	// Sure says, once, that all that runs from earlier lives is known, as far as it can be.
 	Sure struct{}
+	// ToldAll says, once, that every machine of the list told, or is gone.
+	ToldAll struct{}
 )
 
 func (Reach) action()   {}
 func (Settled) action() {}
 func (Sure) action()    {}
+func (ToldAll) action() {}
+
+// Writes tells what must be in a placer's log before a bid is sent: whether anything, and whether on disk. Work that
+// must not run twice is worth a sync. Numbered work is only written, which the death of the process does not undo;
+// after that of the system every machine is heard before a number that came before is let out.
+func Writes(e placer.Effect) (write, sync bool) {
+	return e != placer.Reissuable, e == placer.AtMostOnce
+}
 
 // Round is one life's. Doubts leave it by their machine's word or end, machines once they told or are gone.
 type Round struct {
@@ -97,6 +109,7 @@
 	began   placer.Time
 	listed  bool
 	said    bool
+	all     bool
 	out     []Action
 	doubts  map[string][]doubt // by key: work that must not run twice and may
 	asking  []*inquiry         // in order of time
@@ -282,6 +295,10 @@
 		r.said = true
 		r.do(Sure{})
 	}
+	if !r.all && r.toldAll() {
+		r.all, r.log = true, Written
+		r.do(ToldAll{})
+	}
 }
 
 func (r *Round) toldAll() bool { return r.listed && len(r.asking) == 0 }
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -18,7 +18,8 @@
 	Name      string
 	Door      string
 	ListAddr  string
-	Keep      string // the file of the last list; none where empty
+	State     string // the folder of what is kept over restarts; nothing is where empty
+	Keep      string // an earlier version's file of the last list, read once
 	Metrics   string // where to be scraped; nowhere where empty
 	Peers     []string
 	Terms     placer.Terms
@@ -39,6 +40,7 @@
 	Placers   settings.Count  `yaml:"placers"`
 	Seed      settings.Count  `yaml:"seed" settings:"may"`
 	Door      settings.Word   `yaml:"door"`
+	State     settings.Word   `yaml:"state" settings:"may"`
 	Keep      settings.Word   `yaml:"keep" settings:"may"`
 	Metrics   settings.Word   `yaml:"metrics" settings:"may"`
 	Peers     []settings.Word `yaml:"peers"`
@@ -211,7 +213,7 @@
 		c.fail(f.Number.Place, "number %d is not below placers, %d", f.Number.Value, f.Placers.Value)
 	}
 	m := &f.Machines
-	p := &Placer{Name: f.Name.Text, Door: c.address(f.Door), ListAddr: c.address(f.List.Address), Keep: f.Keep.Text,
+	p := &Placer{Name: f.Name.Text, Door: c.address(f.Door), ListAddr: c.address(f.List.Address), State: f.State.Text, Keep: f.Keep.Text,
 		Bounds: custody.Bounds{Callers: c.some(f.Bounds.Owners), Open: c.some(f.Bounds.Open),
 			OpenPerCaller: c.some(f.Bounds.OpenPerOwner)},
 		Output:  int(f.Links.Output.GiB * (1 << 30)),
@@ -254,6 +256,9 @@
 		p.Terms.Customers = append(p.Terms.Customers, placer.Customer{Cores: c.above0(k.Cores)})
 		p.Customers = append(p.Customers, k.Name.Text)
 	}
+	if f.Keep.Set() && !f.State.Set() {
+		c.fail(f.Keep.Place, "keep is only read once, when state names a folder: name one")
+	}
 	if f.Metrics.Set() {
 		p.Metrics = c.address(f.Metrics)
 	}
