The keeper keeps its jobs and containers on disk, and takes them up again

Need: jobs lived in the keeper's memory and were lost with it, while what ran ran on without an owner.

Change: `state` in keeper.yaml names its folder. A job is on disk before it is acknowledged, an ask is written before a placer gets it (on disk where the work must not run twice), and what a disk does not take is not done and says so (503). After a start recovery decides for each container: asked for, looked for at the placer that was asked, guarded, or left; at most 2,000 a second. Versions never come twice: a ceiling on disk is ahead of them. A repeat of the request that made a job gets the same answer over a crash.

--- a/cmd/glenport/keeper.go
+++ b/cmd/glenport/keeper.go
@@ -30,7 +30,7 @@
 			if err != nil {
 				return err
 			}
-			h, err := jobs.New(jobs.Place{Name: k.Name, Doors: k.Doors, List: k.List, Seed: k.Seed, Site: k.Terms},
+			h, err := jobs.New(jobs.Place{Name: k.Name, Doors: k.Doors, List: k.List, Seed: k.Seed, State: k.State, Site: k.Terms},
 				catalog.New(api.Line), log)
 			if err != nil {
 				return err
--- a/internal/api/api.go
+++ b/internal/api/api.go
@@ -2,6 +2,7 @@
 package api
 
 import (
+	"crypto/sha256"
 	_ "embed"
 	"encoding/json"
 	"errors"
@@ -129,6 +130,7 @@
 	var invalid *jobs.Invalid
 	var conflict *jobs.Conflict
 	var large *http.MaxBytesError
+	var notKept *jobs.NotKept
 	var typed *json.UnmarshalTypeError
 	switch {
 	case errors.As(err, &invalid):
@@ -139,6 +141,9 @@
 		problem(w, http.StatusNotFound, err.Error(), nil)
 	case errors.Is(err, catalog.ErrGone):
 		problem(w, http.StatusGone, err.Error(), nil)
+	case errors.As(err, &notKept):
+		w.Header().Set("Retry-After", "5")
+		problem(w, http.StatusServiceUnavailable, err.Error(), nil)
 	case errors.Is(err, jobs.ErrStopped):
 		problem(w, http.StatusServiceUnavailable, err.Error(), nil)
 	case errors.As(err, &large):
@@ -188,7 +193,8 @@
 		return
 	}
 	do := func() (int, []byte, error) {
-		j.Version, err = s.host.Set(j, -1)
+		digest := sha256.Sum256(raw)
+		j.Version, err = s.host.Set(j, -1, jobs.Made{Key: r.Header.Get("Idempotency-Key"), Request: digest[:]})
 		if err != nil {
 			return 0, nil, err
 		}
@@ -275,7 +281,7 @@
 		err = jobs.ErrUnknown
 	}
 	if err == nil {
-		j.Version, err = s.host.Set(j, version)
+		j.Version, err = s.host.Set(j, version, jobs.Made{})
 	}
 	if err != nil {
 		fail(w, err)
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"sort"
 	"sync"
 
 	"github.com/tidwall/btree"
@@ -36,7 +37,9 @@
 	line func(*Object) []byte
 
 	mu       sync.RWMutex
-	version  int64
+	version  int64 // of the last change
+	taken    int64 // the last version that was given out
+	dropped  int64 // changes up to it are no longer in the log
 	kinds    map[string]*btree.Map[string, *Object]
 	log      []*Object // the last changes, in a ring
 	next     int
@@ -48,6 +51,37 @@
 	return &Catalog{line: line, kinds: map[string]*btree.Map[string, *Object]{}, watchers: map[*Watcher]bool{}}
 }
 
+// Start begins above the versions of earlier lives; nothing is known of their changes.
+func (c *Catalog) Start(above int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.version, c.taken, c.dropped = above, above, above
+}
+
+// Take gives out the next version, for a change that is made later. Changes are made in the order of their versions;
+// one that is not made at all leaves a gap.
+func (c *Catalog) Take() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken++
+	return c.taken
+}
+
+// Taken is the last version that was given out.
+func (c *Catalog) Taken() int64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.taken
+}
+
+// Make makes a change whose version was taken. An object that an earlier life made may be put back as it was, with its
+// version, before anything else.
+func (c *Catalog) Make(version int64, kind, id string, value any, gone bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.change(version, kind, id, value, gone)
+}
+
 // Version is that of the last change.
 func (c *Catalog) Version() int64 {
 	c.mu.RLock()
@@ -56,19 +90,29 @@
 }
 
 // Put makes or changes an object and returns its new version.
-func (c *Catalog) Put(kind, id string, value any) int64 { return c.change(kind, id, value, false) }
+func (c *Catalog) Put(kind, id string, value any) int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.taken++
+	c.change(c.taken, kind, id, value, false)
+	return c.taken
+}
 
 // Delete takes an object out; false where there was none.
 func (c *Catalog) Delete(kind, id string) bool {
 	o := c.Get(kind, id)
-	return o != nil && c.change(kind, id, o.Value, true) > 0
+	if o == nil {
+		return false
+	}
+	c.Make(c.Take(), kind, id, o.Value, true)
+	return true
 }
 
-func (c *Catalog) change(kind, id string, value any, gone bool) int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.version++
-	o := &Object{Kind: kind, ID: id, Version: c.version, Value: value, Gone: gone}
+// change is made under the lock.
+func (c *Catalog) change(version int64, kind, id string, value any, gone bool) {
+	old := version <= c.dropped // of an earlier life: no watcher hears of it
+	c.version = max(c.version, version)
+	o := &Object{Kind: kind, ID: id, Version: version, Value: value, Gone: gone}
 	o.line = c.line(o)
 	t := c.kinds[kind]
 	if t == nil {
@@ -80,16 +124,19 @@
 	} else {
 		t.Set(id, o)
 	}
+	if old {
+		return
+	}
 	if len(c.log) < kept {
 		c.log = append(c.log, o)
 	} else {
+		c.dropped = c.log[c.next].Version
 		c.log[c.next] = o
 	}
 	c.next = (c.next + 1) % kept
 	for w := range c.watchers {
 		w.offer(o)
 	}
-	return c.version
 }
 
 // Get finds an object, or nil.
@@ -145,24 +192,30 @@
 func (c *Catalog) Watch(from int64, kinds ...string) (*Watcher, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if from > c.version {
-		return nil, ErrGone // of an earlier life
-	}
-	missed := c.version - from
-	if missed > int64(len(c.log)) {
+	if from > c.version || from < c.dropped { // of an earlier life, or too old
 		return nil, ErrGone
 	}
-	w := &Watcher{c: c, kinds: map[string]bool{}, Changes: make(chan *Object, mayWait+int(missed)), from: from}
+	first := sort.Search(len(c.log), func(i int) bool { return c.at(i).Version > from })
+	missed := len(c.log) - first
+	w := &Watcher{c: c, kinds: map[string]bool{}, Changes: make(chan *Object, mayWait+missed), from: from}
 	for _, k := range kinds {
 		w.kinds[k] = true
 	}
-	for i := range int(missed) {
-		w.offer(c.log[((c.next-int(missed)+i)%kept+kept)%kept])
+	for i := first; i < len(c.log); i++ {
+		w.offer(c.at(i))
 	}
 	c.watchers[w] = true
 	return w, nil
 }
 
+// at is the ith of the changes that are kept, the oldest first.
+func (c *Catalog) at(i int) *Object {
+	if len(c.log) < kept {
+		return c.log[i]
+	}
+	return c.log[(c.next+i)%kept]
+}
+
 func (w *Watcher) offer(o *Object) {
 	if !w.kinds[o.Kind] {
 		return
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -3,6 +3,7 @@
 package jobs
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -13,7 +14,9 @@
 	"glenport/internal/keeper"
 	"glenport/internal/link"
 	"glenport/internal/loop"
+	"glenport/internal/recovery"
 	"glenport/internal/site"
+	"glenport/internal/store"
 	"glenport/internal/waiting"
 	"glenport/placer"
 )
@@ -39,6 +42,7 @@
 	Doors []string
 	List  string
 	Seed  uint64
+	State string       // the folder of what is kept over restarts; nothing is where empty
 	Site  *site.Placer // workloads, customers, kinds
 }
 
@@ -101,6 +105,10 @@
 	asked   map[uint64]*question        // emptied by the answer or its time
 	last    map[string]*explained       // by job, for a moment
 	seq     uint64
+
+	promises *promises           // nil where nothing is kept
+	shown    []*published        // changes of the catalog that wait for the disk
+	pending  map[string][]func() // by job: changes that wait for the one under way
 }
 
 type explained struct {
@@ -115,12 +123,12 @@
 
 // New makes a keeper's host; Run serves it.
 func New(p Place, c *catalog.Catalog, log *slog.Logger) (*Host, error) {
-	t := keeper.Terms{Seed: p.Seed, Doors: len(p.Doors)}
+	t := keeper.Terms{Seed: p.Seed, First: uint64(time.Now().UnixMicro()), Doors: len(p.Doors)}
 	for _, w := range p.Site.Terms.Workloads {
 		t.Workloads = append(t.Workloads, keeper.Workload{Effect: w.Effect, HardStop: w.HardStop, Window: w.Window})
 	}
 	h := &Host{Catalog: c, place: p, log: log, keeper: keeper.New(t), views: map[string]keeper.Container{},
-		halls: map[string]link.Entry{}, asked: map[uint64]*question{}, last: map[string]*explained{}}
+		halls: map[string]link.Entry{}, asked: map[uint64]*question{}, last: map[string]*explained{}, pending: map[string][]func(){}}
 	var err error
 	if h.loop, err = loop.New(h.turn); err != nil {
 		return nil, err
@@ -129,6 +137,13 @@
 		h.doors = append(h.doors, &door{h: h, number: i, addr: addr})
 	}
 	h.list = &listing{h: h}
+	if p.State != "" {
+		if h.promises, err = openPromises(h, p.State); err != nil {
+			h.loop.Stop()
+			h.loop.Run()
+			return nil, err
+		}
+	}
 	return h, nil
 }
 
@@ -142,7 +157,13 @@
 			h.list.call()
 		}
 	})
-	return h.loop.Run()
+	err := h.loop.Run()
+	if h.promises != nil {
+		if c := h.promises.close(); err == nil {
+			err = c
+		}
+	}
+	return err
 }
 
 func (h *Host) Stop() { h.loop.Stop() }
@@ -164,46 +185,69 @@
 // ErrStopped says that the keeper is not there to be asked.
 var ErrStopped = errors.New("the keeper has stopped")
 
-// Set makes or changes a job and returns its version. With precondition above 0 the job must have that version.
-func (h *Host) Set(j Job, precondition int64) (version int64, err error) {
+// Made tells a request that makes a job from another: the key that its sender gave it, and a digest.
+type Made struct {
+	Key     string
+	Request []byte
+}
+
+// Set makes or changes a job and returns its version once that is on disk. With precondition above 0 the job must have
+// that version, below 0 there must be none; but one that the same request made is no conflict.
+func (h *Host) Set(j Job, precondition int64, by Made) (version int64, err error) {
 	spec, err := h.spec(&j)
 	if err != nil {
 		return 0, err
 	}
-	if !h.ask(func() {
-		old := h.Catalog.Get(Jobs, j.ID)
+	return h.changed(j.ID, func(old *Job) (*KeptJob, keeper.Event, error) {
+		k := &KeptJob{Job: j, Made: by.Key, Request: by.Request}
 		switch {
 		case precondition < 0 && old != nil:
-			err = &Conflict{j.ID, old.Version, "it exists already"}
+			if h.promises != nil && by.Key != "" {
+				if m := h.promises.made[j.ID]; m.Made == by.Key && bytes.Equal(m.Request, by.Request) {
+					return nil, nil, &alreadyMade{old.Version}
+				}
+			}
+			return nil, nil, &Conflict{j.ID, old.Version, "it exists already"}
 		case precondition > 0 && old == nil:
-			err = ErrUnknown
+			return nil, nil, ErrUnknown
 		case precondition > 0 && old.Version != precondition:
-			err = &Conflict{j.ID, old.Version, "it was changed meanwhile"}
-		default:
-			version = h.Catalog.Put(Jobs, j.ID, j)
-			h.events = append(h.events, keeper.Set{Job: j.ID, Count: j.Count, Spec: spec})
+			return nil, nil, &Conflict{j.ID, old.Version, "it was changed meanwhile"}
 		}
+		return k, keeper.Set{Job: j.ID, Count: j.Count, Spec: spec}, nil
+	})
+}
+
+// changed makes a change on the loop and waits for it.
+func (h *Host) changed(id string, f func(*Job) (*KeptJob, keeper.Event, error)) (int64, error) {
+	type answer struct {
+		version int64
+		err     error
+	}
+	got := make(chan answer, 1)
+	if !h.loop.Post(func() {
+		h.changeJob(id, f, func(version int64, err error) { got <- answer{version, err} })
 	}) {
 		return 0, ErrStopped
 	}
-	return version, err
+	select {
+	case a := <-got:
+		return a.version, a.err
+	case <-time.After(10 * time.Second):
+		return 0, ErrStopped
+	}
 }
 
 // Drop ends a job.
-func (h *Host) Drop(id string, precondition int64) (err error) {
-	if !h.ask(func() {
-		switch old := h.Catalog.Get(Jobs, id); {
+func (h *Host) Drop(id string, precondition int64) error {
+	_, err := h.changed(id, func(old *Job) (*KeptJob, keeper.Event, error) {
+		switch {
 		case old == nil:
-			err = ErrUnknown
+			return nil, nil, ErrUnknown
 		case precondition > 0 && old.Version != precondition:
-			err = &Conflict{id, old.Version, "it was changed meanwhile"}
-		default:
-			h.Catalog.Delete(Jobs, id)
-			h.events = append(h.events, keeper.Drop{Job: id})
+			return nil, nil, &Conflict{id, old.Version, "it was changed meanwhile"}
 		}
-	}) {
-		return ErrStopped
-	}
+		return nil, keeper.Drop{Job: id}, nil
+	})
 	return err
 }
 
@@ -421,27 +465,77 @@
 	return f
 }
 
-// turn hands the keeper what came and carries out what it wants.
+// turn hands the keeper what came, keeps what it makes of it, and then carries out what it wants.
 func (h *Host) turn() {
 	events := h.events
 	if len(events) == 0 {
 		return
 	}
 	h.events = nil
+	var changes []store.Change
+	var todo []keeper.Action
+	durable := false
 	for _, a := range h.keeper.Handle(placer.Time(h.loop.Now()), events) {
 		switch a := a.(type) {
-		case keeper.Submit:
-			h.doors[a.Door].write(&link.Submit{Left: link.Span(a.Left), Work: h.submission(a)})
-		case keeper.Cancel:
-			h.doors[a.Door].write(&link.Cancel{Container: a.Ask, Key: a.Key})
 		case keeper.Changed:
+			if h.promises != nil {
+				k := KeptContainer{Container: a.Container}
+				if d := a.Container.Door; d >= 0 {
+					k.Door = h.doors[d].addr
+				}
+				changes = append(changes, change(ContainerKind, containerID(a.Container.Job, a.Container.Index), k))
+			}
 			h.show(a.Container)
 		case keeper.Removed:
 			id := containerID(a.Job, a.Index)
-			delete(h.views, id)
-			h.Catalog.Delete(Containers, id)
+			changes = append(changes, store.Change{Kind: ContainerKind, Key: id})
+			if _, seen := h.views[id]; seen {
+				delete(h.views, id)
+				h.publish(Containers, id, Container{ID: id, Job: a.Job, Index: a.Index}, true, true)
+			}
 		case keeper.Wake:
 			h.loop.After(loop.Tick(a.After), func() { h.events = append(h.events, keeper.Woke{}) })
+		case keeper.Submit:
+			_, sync := recovery.Writes(h.effect(a.Spec.Workload))
+			durable = durable || sync
+			todo = append(todo, a)
+		default:
+			todo = append(todo, a)
+		}
+	}
+	if len(todo) == 0 {
+		if len(changes) > 0 {
+			h.keep(changes, false, func(error) {})
+		}
+		return
+	}
+	h.keep(changes, durable, func(err error) {
+		for _, a := range todo {
+			h.carry(a, err)
+		}
+	})
+}
+
+func (h *Host) effect(workload int) placer.Effect {
+	if w := h.place.Site.Terms.Workloads; workload >= 0 && workload < len(w) {
+		return w[workload].Effect
+	}
+	return placer.AtMostOnce
+}
+
+// carry does what the keeper wants done. An ask that could not be written down is not made.
+func (h *Host) carry(a keeper.Action, kept error) {
+	switch a := a.(type) {
+	case keeper.Submit:
+		if kept != nil {
+			h.events = append(h.events, keeper.Answered{Ask: a.Ask, Verdict: keeper.TurnedAway, HoldOff: placer.Second,
+				Text: "the ask could not be written down: " + kept.Error()})
+			return
+		}
+		h.doors[a.Door].write(&link.Submit{Left: link.Span(a.Left), Work: h.submission(a)})
+	case keeper.Cancel:
+		if a.Door >= 0 {
+			h.doors[a.Door].write(&link.Cancel{Container: a.Ask, Key: a.Key})
 		}
 	}
 }
@@ -456,7 +550,7 @@
 		c.Placer = h.doors[v.Door].name
 	}
 	h.views[c.ID] = v
-	h.Catalog.Put(Containers, c.ID, c)
+	h.publish(Containers, c.ID, c, false, true)
 }
 
 func work(s keeper.Spec, container, key string) link.Work {
--- a/internal/jobs/links.go
+++ b/internal/jobs/links.go
@@ -162,12 +162,12 @@
 		if e.Kind < len(h.place.Site.Kinds) {
 			m.Kind = h.place.Site.Kinds[e.Kind]
 		}
-		h.Catalog.Put(Machines, m.ID, m)
+		h.publish(Machines, m.ID, m, false, true)
 	}
 	for id := range h.halls {
 		if on, said := named[id]; said && !on || f.Whole && !on {
 			delete(h.halls, id)
-			h.Catalog.Delete(Machines, id)
+			h.publish(Machines, id, Machine{ID: id}, true, true)
 		}
 	}
 }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -7,7 +7,10 @@
 	"container/heap"
 	"fmt"
 	"sort"
+	"strconv"
+	"strings"
 
+	"glenport/internal/recovery"
 	"glenport/placer"
 )
 
@@ -31,7 +34,8 @@
 // Terms are what a keeper is told when it starts.
 type Terms struct {
 	Seed      uint64
-	Doors     int // of placers
+	First     uint64 // numbers of keys and asks begin above it: those of earlier lives must not come again
+	Doors     int    // of placers
 	Workloads []Workload
 }
 
@@ -77,6 +81,13 @@
 	Starts  int
 	Last    string // the last answer or fate, in words
 	Held    bool   // the last answer was no push-back but a placer's word that it cannot be sure
+
+	// What another life of the keeper needs beside.
+	Key      string
+	Ask      string // the last one
+	Again    bool   // it was asked for under this key
+	Replaced bool   // it was cancelled for a newer spec
+	With     Spec   // that it was asked for with
 }
 
 // Event is something that happened.
@@ -90,6 +101,11 @@
 		Spec  Spec
 	}
 	Drop struct{ Job string }
+	// Restored is what an earlier life left: the jobs as they are wanted, the containers as they were. It comes first.
+	Restored struct {
+		Jobs       []Set
+		Containers []Container
+	}
 	// Door tells that a placer's door stands open or is lost.
 	Door struct {
 		Number int
@@ -123,6 +139,7 @@
 
 func (Set) event()      {}
 func (Drop) event()     {}
+func (Restored) event() {}
 func (Door) event()     {}
 func (Answered) event() {}
 func (Fated) event()    {}
@@ -187,12 +204,9 @@
 type slot struct {
 	Container
 	job      *job
-	key      string
-	ask      string
 	revision int
-	again    bool
-	replaced bool // it was cancelled for a newer revision
-	stamp    int  // of its place in the heap: older ones there count no more
+	pace     placer.Time // that it waits longer when its door is back, after a start of the keeper
+	stamp    int         // of its place in the heap: older ones there count no more
 	dirty    bool
 	gone     bool
 }
@@ -219,7 +233,7 @@
 }
 
 func New(t Terms) *Keeper {
-	return &Keeper{terms: t, rng: t.Seed*2862933555777941757 + 3037000493, jobs: map[string]*job{}, asks: map[string]*slot{},
+	return &Keeper{terms: t, rng: t.Seed*2862933555777941757 + 3037000493, lastN: t.First, jobs: map[string]*job{}, asks: map[string]*slot{},
 		open: make([]bool, t.Doors)}
 }
 
@@ -235,6 +249,8 @@
 				j.count = 0
 				k.fit(j)
 			}
+		case Restored:
+			k.restore(e)
 		case Door:
 			k.door(e)
 		case Answered:
@@ -287,6 +303,73 @@
 	k.replace(j)
 }
 
+// restore takes up what an earlier life left. What may run is looked for at the placer that was asked; the rest is
+// asked for at a pace.
+func (k *Keeper) restore(e Restored) {
+	for _, set := range e.Jobs {
+		k.jobs[set.Job] = &job{id: set.Job, spec: set.Spec, revision: 1, count: set.Count}
+	}
+	left := append([]Container(nil), e.Containers...)
+	sort.Slice(left, func(i, j int) bool {
+		return left[i].Job < left[j].Job || left[i].Job == left[j].Job && left[i].Index < left[j].Index
+	})
+	for n, c := range left {
+		j := k.jobs[c.Job]
+		if j == nil { // it was dropped, and this one is to leave
+			j = &job{id: c.Job, spec: c.With, revision: 1}
+			k.jobs[c.Job] = j
+		}
+		for len(j.slots) <= c.Index {
+			j.slots = append(j.slots, &slot{job: j, gone: true, Container: Container{Job: c.Job, Index: len(j.slots), Leaving: true}})
+		}
+		s := &slot{job: j, Container: c}
+		if c.With == j.spec || c.State == Waiting {
+			s.revision = 1
+		}
+		j.slots[c.Index] = s
+		k.lastN = max(k.lastN, number(c.Key, "/"), number(c.Ask, "#"))
+		k.resume(s, n)
+	}
+	for _, id := range k.jobIDs() {
+		k.fit(k.jobs[id])
+	}
+}
+
+// number is that at the end of a key or an ask.
+func number(of, after string) uint64 {
+	n, _ := strconv.ParseUint(of[strings.LastIndex(of, after)+1:], 10, 64)
+	return n
+}
+
+// resume does what recovery decides on one container.
+func (k *Keeper) resume(s *slot, n int) {
+	phase := map[State]recovery.Phase{Asking: recovery.Sent, Running: recovery.Ran, Unwatched: recovery.Ran,
+		Guarded: recovery.Kept, Done: recovery.Over}[s.State]
+	if s.State == Waiting && s.Pinned {
+		phase = recovery.Sent
+	}
+	step, after := recovery.Resume(phase, n)
+	switch {
+	case step == recovery.Look && s.Door < 0: // its placer is none of the doors any more
+		if k.effect(s) == placer.Reissuable {
+			k.freshKey(s)
+			k.wait(s, after, "its placer is no longer among the doors")
+			return
+		}
+		s.Pinned = true
+		k.wait(s, after, "its placer is no longer among the doors, and it may run")
+	case step == recovery.Look:
+		s.pace = after
+		k.turn(s, Unwatched, orphanAfter+after, "the keeper came up: its placer is asked")
+	case step == recovery.Guard:
+		k.guard(s, s.Last)
+	case step == recovery.Ask:
+		k.wait(s, placer.Time(k.chance()*float64(soon))+after, s.Last)
+	default:
+		k.turn(s, s.State, -1, s.Last)
+	}
+}
+
 // fit makes the slots follow the wanted number: new ones begin to wait, those beyond it leave.
 func (k *Keeper) fit(j *job) {
 	for i := range j.count {
@@ -334,7 +417,7 @@
 	k.mark(s)
 	switch s.State {
 	case Asking, Running:
-		k.do(Cancel{s.Door, s.ask, s.key})
+		k.do(Cancel{s.Door, s.Ask, s.Key})
 	case Waiting:
 		if s.Pinned {
 			k.callOff(s)
@@ -350,11 +433,11 @@
 // callOff ends one that may run, by the placer that knows; while its door is lost it stays, or a later one in its
 // place could be a second copy.
 func (k *Keeper) callOff(s *slot) {
-	if !k.open[s.Door] {
+	if s.Door < 0 || !k.open[s.Door] {
 		k.turn(s, Unwatched, -1, s.Last)
 		return
 	}
-	k.do(Cancel{s.Door, s.ask, s.key})
+	k.do(Cancel{s.Door, s.Ask, s.Key})
 	k.remove(s)
 }
 
@@ -400,13 +483,13 @@
 // freshKey begins a life of a container: what ran under the key before has surely ended, or may run twice.
 func (k *Keeper) freshKey(s *slot) {
 	k.lastN++
-	s.key = fmt.Sprintf("%s/%d/%d", s.Job, s.Index, k.lastN)
-	s.Pinned, s.again = false, false
+	s.Key = fmt.Sprintf("%s/%d/%d", s.Job, s.Index, k.lastN)
+	s.Pinned, s.Again = false, false
 }
 
 func (k *Keeper) forgetAsk(s *slot) {
-	if k.asks[s.ask] == s {
-		delete(k.asks, s.ask)
+	if k.asks[s.Ask] == s {
+		delete(k.asks, s.Ask)
 	}
 }
 
@@ -427,7 +510,7 @@
 			k.callOff(s)
 			return
 		}
-		s.Pinned, s.again = true, true
+		s.Pinned, s.Again = true, true
 		k.wait(s, 0, "made sure")
 	case Unwatched:
 		if k.effect(s) == placer.Reissuable {
@@ -459,22 +542,22 @@
 	}
 	k.forgetAsk(s)
 	k.lastN++
-	s.ask = fmt.Sprintf("%s/%d#%d", s.Job, s.Index, k.lastN)
-	k.asks[s.ask] = s
-	s.Door, s.revision = door, s.job.revision
+	s.Ask = fmt.Sprintf("%s/%d#%d", s.Job, s.Index, k.lastN)
+	k.asks[s.Ask] = s
+	s.Door, s.revision, s.With = door, s.job.revision, s.job.spec
 	s.Tries++
 	left := placer.Second
 	if w := s.job.spec.Workload; w < len(k.terms.Workloads) {
 		left = k.terms.Workloads[w].HardStop
 	}
 	k.turn(s, Asking, -1, "asked")
-	k.do(Submit{door, s.ask, s.key, s.job.spec, left, s.again})
-	s.again = true
+	k.do(Submit{door, s.Ask, s.Key, s.job.spec, left, s.Again})
+	s.Again = true
 }
 
 func (k *Keeper) answered(e Answered) {
 	s := k.asks[e.Ask]
-	if s == nil || s.State != Asking || s.ask != e.Ask {
+	if s == nil || s.State != Asking || s.Ask != e.Ask {
 		return
 	}
 	if e.Verdict != Placed {
@@ -486,7 +569,7 @@
 		s.Starts++
 		k.turn(s, Running, -1, "runs")
 		if s.Leaving {
-			k.do(Cancel{s.Door, s.ask, s.key})
+			k.do(Cancel{s.Door, s.Ask, s.Key})
 		}
 		k.replace(s.job)
 		return
@@ -554,8 +637,8 @@
 			placer.Stopped: "stopped"}[e.Outcome]+map[placer.Reason]string{placer.SentAway: "sent away by its machine",
 			placer.PushedOut: "pushed out by other work"}[e.Reason])
 	}
-	if s.replaced {
-		s.replaced = false
+	if s.Replaced {
+		s.Replaced = false
 	}
 }
 
@@ -589,23 +672,28 @@
 				continue
 			}
 			k.forgetAsk(s)
-			s.Pinned, s.again = true, true
-			k.wait(s, lookAgain+placer.Time(k.chance()*float64(2*lookAgain)), "its placer is back")
+			s.Pinned, s.Again = true, true
+			k.wait(s, lookAgain+placer.Time(k.chance()*float64(2*lookAgain))+s.pace, "its placer is back")
+			s.pace = 0
 		case e.Open && s.State == Waiting && s.Until == 0:
 			k.wait(s, placer.Time(k.chance()*float64(4*soon)), s.Last)
 		}
 	}
 }
 
-// ordered gives all slots in order of job and index.
-func (k *Keeper) ordered() []*slot {
+func (k *Keeper) jobIDs() []string {
 	ids := make([]string, 0, len(k.jobs))
 	for id := range k.jobs {
 		ids = append(ids, id)
 	}
 	sort.Strings(ids)
+	return ids
+}
+
+// ordered gives all slots in order of job and index.
+func (k *Keeper) ordered() []*slot {
 	var all []*slot
-	for _, id := range ids {
+	for _, id := range k.jobIDs() {
 		for _, s := range k.jobs[id].slots {
 			if !s.gone {
 				all = append(all, s)
@@ -622,7 +710,7 @@
 		if s.gone || s.Leaving {
 			continue
 		}
-		if s.replaced || s.revision == j.revision && s.State != Running && s.State != Done && s.Starts > 0 {
+		if s.Replaced || s.revision == j.revision && s.State != Running && s.State != Done && s.Starts > 0 {
 			return // one is under way
 		}
 		if next == nil && s.State == Running && s.revision != j.revision {
@@ -630,7 +718,8 @@
 		}
 	}
 	if next != nil {
-		next.replaced = true
-		k.do(Cancel{next.Door, next.ask, next.key})
+		next.Replaced = true
+		k.mark(next)
+		k.do(Cancel{next.Door, next.Ask, next.Key})
 	}
 }
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -316,3 +318,256 @@
 		}
 	})
 }
+
+// A keeper that comes up does the right thing first with what its log names. Each case is a container as it was, the
+// wanted count and what happens; the state, the asks and the cancels are compared.
+func TestRestored(t *testing.T) {
+	spec := Spec{Service: "s", Cores: 1}
+	was := Container{Job: "j", Door: 0, Key: "j/0/41", Ask: "j/0#42", Again: true, With: spec}
+	for _, tc := range []struct {
+		name   string
+		effect placer.Effect
+		state  State
+		change func(c *Container)
+		count  int
+		steps  string
+		want   string
+	}{
+		{"never asked for", 2, Waiting, func(c *Container) { c.Door, c.Ask, c.Again = -1, "", false }, 1, "other 1s", "asking 1 at 1 with j/0/41"},
+		{"asked: its placer has to tell", 2, Asking, nil, 1, "other 9s", "unwatched 0"},
+		{"asked, reissuable: nor is that started twice", 0, Asking, nil, 1, "other 5s", "unwatched 0"},
+		{"asked, its placer is there", 2, Asking, nil, 1, "back 2s", "asking 1 at 0 with j/0/41"},
+		{"asked, and it runs", 2, Asking, nil, 1, "back 2s placed", "running 1 at 0 with j/0/41"},
+		{"ran", 2, Running, nil, 1, "back 2s placed", "running 1 at 0 with j/0/41"},
+		{"ran, reissuable, its placer stays away", 0, Running, nil, 1, "other 11s", "asking 1 at 1 with another key"},
+		{"ran, its placer stays away", 2, Running, nil, 1, "other 60s", "unwatched 0"},
+		{"pinned while it waited", 2, Waiting, func(c *Container) { c.Pinned = true }, 1, "other 9s", "unwatched 0"},
+		{"guarded", 2, Guarded, nil, 1, "back 7s", "guarded 0"},
+		{"guarded, the wait is over", 2, Guarded, nil, 1, "back 9s", "asking 1 at 0 with j/0/41"},
+		{"finished", 0, Done, nil, 1, "back 9s", "done 0"},
+		{"its job was dropped", 2, Running, nil, -1, "back 2s", "removed 0, 1 cancelled"},
+		{"scaled down", 2, Running, nil, 0, "back 2s", "removed 0, 1 cancelled"},
+		{"scaled down, never asked for", 2, Waiting, func(c *Container) { c.Door, c.Again = -1, false }, 0, "", "removed 0"},
+		{"its placer is none any more", 2, Running, func(c *Container) { c.Door = -1 }, 1, "other 60s", "waiting 0"},
+		{"its placer is none any more, reissuable", 0, Running, func(c *Container) { c.Door = -1 }, 1, "other 1s", "asking 1 at 1 with another key"},
+		// Without the check this fell over: there is no door -1.
+		{"its placer is none any more, and it is to leave", 2, Running, func(c *Container) { c.Door = -1 }, 0, "back 9s", "unwatched 0"},
+		{"a job without its container", 2, Waiting, func(c *Container) { c.Job = "" }, 1, "back 1s", "asking 1 at 0 with another key"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &rig{T: t, k: New(terms(tc.effect)), view: map[string]Container{}}
+			c := was
+			if c.State = tc.state; tc.change != nil {
+				tc.change(&c)
+			}
+			e := Restored{Containers: []Container{c}}
+			if tc.count >= 0 {
+				e.Jobs = []Set{{"j", tc.count, spec}}
+			}
+			if c.Job == "" {
+				e.Containers = nil
+			}
+			r.view["0"] = c
+			r.do(e)
+			for _, w := range strings.Fields(tc.steps) {
+				switch w {
+				case "back":
+					r.do(Door{0, true})
+				case "other":
+					r.do(Door{1, true})
+				case "placed":
+					r.do(Answered{Ask: r.last().Ask, Verdict: Placed, Machine: "m"})
+				default:
+					var n placer.Time
+					fmt.Sscanf(w, "%ds", &n)
+					r.pass(n * sec)
+				}
+			}
+			got := "removed"
+			if v, ok := r.view["0"]; ok {
+				got = v.State.String()
+			}
+			got += fmt.Sprint(" ", len(r.sent))
+			if len(r.sent) > 0 {
+				key := r.last().Key
+				if key != c.Key {
+					key = "another key"
+				}
+				if r.last().Ask == c.Ask {
+					t.Error("an ask of the earlier life has come again")
+				}
+				got += fmt.Sprintf(" at %d with %s", r.last().Door, key)
+			}
+			if len(r.off) > 0 {
+				got += fmt.Sprintf(", %d cancelled", len(r.off))
+			}
+			if got != tc.want {
+				t.Errorf("got %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
+
+// Drawn histories of a keeper that is killed at any moment, with placers that run, lose, push back and fall silent. What
+// its log holds is what was there before an ask went out. Whatever happens, no container of at-most-once work runs
+// twice at once, and when all is well again each wanted one runs and no other does.
+func TestKilled(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		effect := rapid.SampledFrom([]placer.Effect{placer.Reissuable, placer.AtMostOnce}).Draw(t, "effect")
+		spec := Spec{Service: "s", Cores: 1}
+		jobs := map[string]Set{}             // kept
+		log := map[string]Container{}        // kept
+		runs := [2]map[string]string{{}, {}} // by door: key to ask
+		open := [2]bool{}
+		now, wake, life := placer.Time(0), placer.Time(0), uint64(0)
+		var k *Keeper
+		var todo []Action
+		calm := false
+		chance := func(n int, label string) bool { return !calm && rapid.IntRange(0, n-1).Draw(t, label) == 0 }
+		var do func(e ...Event)
+		start := func() {
+			life += 1000
+			k = New(Terms{Seed: life, First: life, Doors: 2, Workloads: []Workload{{Effect: effect, HardStop: 4 * sec, Window: 8 * sec}}})
+			todo, wake, open = nil, 0, [2]bool{}
+			e := Restored{}
+			for _, id := range []string{"a", "b"} {
+				if j, ok := jobs[id]; ok {
+					e.Jobs = append(e.Jobs, j)
+				}
+			}
+			for _, c := range log {
+				e.Containers = append(e.Containers, c)
+			}
+			do(e)
+		}
+		perform := func() {
+			for len(todo) > 0 {
+				a := todo[0]
+				todo = todo[1:]
+				switch a := a.(type) {
+				case Submit:
+					if !open[a.Door] {
+						continue
+					}
+					at := runs[a.Door]
+					_, there := at[a.Key]
+					switch {
+					case there:
+						at[a.Key] = a.Ask
+						do(Answered{Ask: a.Ask, Verdict: Placed, Machine: "m"})
+					case chance(4, "pushed back"):
+						do(Answered{Ask: a.Ask, Verdict: PushedBack})
+					case chance(4, "given up, and it runs"):
+						at[a.Key] = a.Ask
+						do(Answered{Ask: a.Ask, Verdict: GivenUp})
+					case chance(6, "its link breaks, and it runs"):
+						at[a.Key] = a.Ask
+						open[a.Door] = false
+						do(Door{a.Door, false})
+					default:
+						at[a.Key] = a.Ask
+						do(Answered{Ask: a.Ask, Verdict: Placed, Machine: "m"})
+					}
+					if effect == placer.AtMostOnce {
+						seen := map[string]bool{}
+						for _, at := range runs {
+							for key := range at {
+								c := key[:strings.LastIndex(key, "/")]
+								if seen[c] {
+									t.Fatalf("%s runs twice: %v", c, runs)
+								}
+								seen[c] = true
+							}
+						}
+					}
+				case Cancel:
+					if ask, there := runs[a.Door][a.Key]; there && open[a.Door] {
+						delete(runs[a.Door], a.Key)
+						do(Fated{ask, placer.Stopped, 0})
+						if ask != a.Ask {
+							do(Answered{Ask: a.Ask, Verdict: GivenUp, Text: "cancelled"})
+						}
+					} else if open[a.Door] {
+						do(Answered{Ask: a.Ask, Verdict: GivenUp, Text: "cancelled"})
+					}
+				}
+			}
+		}
+		do = func(e ...Event) {
+			for _, a := range k.Handle(now, e) {
+				switch a := a.(type) {
+				case Changed:
+					log[fmt.Sprintf("%s.%d", a.Container.Job, a.Container.Index)] = a.Container
+				case Removed:
+					delete(log, fmt.Sprintf("%s.%d", a.Job, a.Index))
+				case Wake:
+					wake = now + a.After
+				default:
+					todo = append(todo, a)
+				}
+			}
+		}
+		pass := func(span placer.Time) {
+			for end := now + span; ; {
+				if wake == 0 || wake > end {
+					now = end
+					return
+				}
+				now, wake = max(now, wake), 0
+				do(Woke{})
+				perform()
+			}
+		}
+		start()
+		for range rapid.IntRange(10, 40).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "what") {
+			case 0, 1:
+				id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job")
+				s := Set{id, rapid.IntRange(0, 3).Draw(t, "count"), spec}
+				jobs[id] = s
+				do(s)
+			case 2:
+				if id := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "job"); jobs[id].Job != "" {
+					delete(jobs, id)
+					do(Drop{id})
+				}
+			case 3: // kill -9: what was written is there, what was to be done is not
+				start()
+			case 4:
+				d := rapid.IntRange(0, 1).Draw(t, "door")
+				open[d] = !open[d]
+				do(Door{d, open[d]})
+			case 5:
+				for d := range runs {
+					keys := slices.Sorted(maps.Keys(runs[d]))
+					if open[d] && len(keys) > 0 {
+						ask := runs[d][keys[0]]
+						delete(runs[d], keys[0])
+						do(Fated{ask, placer.Finished, 0})
+					}
+				}
+			}
+			perform()
+			pass(placer.Time(rapid.IntRange(0, 120_000).Draw(t, "on")))
+		}
+		calm = true
+		for d := range open {
+			if !open[d] {
+				open[d] = true
+				do(Door{d, true})
+			}
+		}
+		perform()
+		pass(300 * sec)
+		want, got := 0, 0
+		for _, j := range jobs {
+			want += j.Count
+		}
+		for _, at := range runs {
+			got += len(at)
+		}
+		if effect == placer.AtMostOnce && got != want || got < want {
+			t.Fatalf("%d run, %d are wanted: %v, log %+v", got, want, runs, log)
+		}
+	})
+}
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -365,23 +365,23 @@
 const (
 	Ask   Step = iota // it is asked for, anywhere
 	Look              // the placer that was asked is asked again by the same key: it knows, or finds out
-	Guard             // nothing, until its time
+	Guard             // the wait begins anew: nobody knows how much of it had passed
 	Leave             // nothing
 )
 
-// PerSecond is how many containers a keeper asks for in a second while it recovers: a placer decides on some 10,000
+// perSecond is how many containers a keeper asks for in a second while it recovers: a placer decides on some 10,000
 // a second, and what came before must not crowd out what comes.
-const PerSecond = 2000
+const perSecond = 2000
 
 // Resume decides on one container, the nth of those that its keeper's log names. What may run is never asked for
 // elsewhere, whatever its effect: a second copy of reissuable work does no harm, but nobody would end it.
-func Resume(p Phase, n int, guarded placer.Time) (Step, placer.Time) {
-	pace := placer.Time(n) * placer.Second / PerSecond
+func Resume(p Phase, n int) (Step, placer.Time) {
+	pace := placer.Time(n) * placer.Second / perSecond
 	switch p {
 	case Sent, Ran:
 		return Look, pace
 	case Kept:
-		return Guard, max(guarded, placer.Second)
+		return Guard, 0
 	case Over:
 		return Leave, 0
 	}
--- a/internal/site/keeper.go
+++ b/internal/site/keeper.go
@@ -14,6 +14,7 @@
 	Doors []string
 	List  string
 	Seed  uint64
+	State string  // the folder of what is kept over restarts; nothing is where empty
 	Terms *Placer // workloads, customers and kinds
 }
 
@@ -24,6 +25,7 @@
 	Doors []settings.Word `yaml:"doors"`
 	List  settings.Word   `yaml:"list" settings:"may"`
 	Seed  settings.Count  `yaml:"seed" settings:"may"`
+	State settings.Word   `yaml:"state" settings:"may"`
 }
 
 // LoadKeeper reads and checks a keeper's file and the placer's file that it names, beside it.
@@ -42,7 +44,7 @@
 	if c.fault != nil {
 		return nil, c.fault
 	}
-	k := &Keeper{Name: f.Name.Text, API: c.address(f.API), Seed: uint64(f.Seed.Value)}
+	k := &Keeper{Name: f.Name.Text, API: c.address(f.API), Seed: uint64(f.Seed.Value), State: f.State.Text}
 	if f.List.Set() {
 		k.List = c.address(f.List)
 	}
