--- a/cmd/glenport-lab/main.go
+++ b/cmd/glenport-lab/main.go
@@ -217,7 +217,7 @@
 	why.Flags().IntVar(&cycles, "cycles", 50, "of draining and filling, four changes each")
 	why.Flags().IntVar(&steps, "steps", 0, "play the first so many steps only; 0: all")
 	why.Flags().BoolVar(&lie, "sabotage", false, "read another reason than the API tells")
-	trial.AddCommand(why, bgpTrialCommand())
+	trial.AddCommand(why, bgpTrialCommand(), restartTrialCommand())
 	return trial
 }
 
@@ -248,19 +248,53 @@
 			defer done()
 			t := &lab.BGPTrial{Rounds: rounds, Out: os.Stdout}
 			ok, err := t.Run(d, dir, program)
-			if err != nil {
-				fmt.Printf("trial bgp: FAILED %v\n", err)
-				return errNotHeld
-			}
-			if !ok {
-				fmt.Println("trial bgp: FAILED a peer was told too late, too often or what was not so")
-				return errNotHeld
-			}
-			fmt.Println("trial bgp: ok")
-			return nil
+			return verdict("bgp", ok, err, "a peer was told too late, too often or what was not so")
 		}}
 	c.Flags().StringVar(&dir, "dir", "", "folder to keep the logs in")
 	c.Flags().IntVar(&rounds, "rounds", 10, "of fifty ends each")
 	c.Flags().StringVar(&spoil, "sabotage", "", "late or storm: withdrawals come late, or every change is told at once")
 	return c
 }
+
+func restartTrialCommand() *cobra.Command {
+	var dir string
+	var short bool
+	t := &lab.RestartTrial{Out: os.Stdout}
+	c := &cobra.Command{Use: "restart", Short: "Nothing that was promised is lost when programs are killed while they write", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if t.Spoil != "" && t.Spoil != "sync" && t.Spoil != "checksum" {
+				return fmt.Errorf("--sabotage %q is neither sync nor checksum", t.Spoil)
+			}
+			t.Sizes, t.Lost = []int{100, 10_000, 100_000}, true
+			if short {
+				t.Sizes, t.Lost = []int{100}, false
+			}
+			d, err := lab.LoadDay("days/short.yaml")
+			if err != nil {
+				return err
+			}
+			return withPlacers(dir, 0, func(program []string, dir string) error {
+				ok, err := t.Run(d, dir, program)
+				return verdict("restart", ok, err, "what was promised was lost, or a rule broken")
+			})
+		}}
+	c.Flags().StringVar(&dir, "dir", "", "folder to keep the records and the logs in")
+	c.Flags().IntVar(&t.Kills, "kills", 1000, "of placers; the keeper dies now and then beside")
+	c.Flags().BoolVar(&short, "short", false, "leave out the long measurements")
+	c.Flags().StringVar(&t.Spoil, "sabotage", "", "sync or checksum: the store leaves it out")
+	return c
+}
+
+// verdict prints a trial's last line.
+func verdict(name string, ok bool, err error, what string) error {
+	switch {
+	case err != nil:
+		fmt.Printf("trial %s: FAILED %v\n", name, err)
+	case !ok:
+		fmt.Printf("trial %s: FAILED %s\n", name, what)
+	default:
+		fmt.Printf("trial %s: ok\n", name)
+		return nil
+	}
+	return errNotHeld
+}
--- /dev/null
+++ b/cmd/glenport/state.go
@@ -0,0 +1,168 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"sort"
+	"time"
+
+	"glenport/internal/disk"
+	"glenport/internal/host"
+	"glenport/internal/store"
+	"glenport/placer"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/spf13/cobra"
+)
+
+func stateCommand() *cobra.Command {
+	c := &cobra.Command{Use: "state", Short: "Look at the state folder of a placer or a keeper"}
+	c.AddCommand(
+		&cobra.Command{Use: "inspect FOLDER", Short: "Tell what a folder holds", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error { return inspect(args[0], c.OutOrStdout()) }},
+		&cobra.Command{Use: "verify FOLDER", Short: "Read all of a folder and check it", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error { return verify(args[0], c.OutOrStdout(), c.ErrOrStderr()) }},
+		&cobra.Command{Use: "export FOLDER", Short: "Write a folder's records as lines of JSON", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error { return export(args[0], c.OutOrStdout()) }},
+		&cobra.Command{Use: "compact FOLDER", Short: "Make a snapshot of a folder that nobody holds", Args: cobra.ExactArgs(1),
+			RunE: func(c *cobra.Command, args []string) error { return compact(args[0], c.OutOrStdout()) }})
+	return c
+}
+
+// looked is a folder that was read, as far as it can be.
+type looked struct {
+	state     *store.State
+	stateErr  error
+	knowledge *host.Knowledge // nil where there is none
+	knownErr  error
+}
+
+func look(path string) (*looked, error) {
+	d, err := disk.Look(path)
+	if err != nil {
+		return nil, err
+	}
+	l := &looked{}
+	l.state, l.stateErr = store.Read(d, false)
+	l.knowledge, l.knownErr = host.ReadKnowledge(d)
+	return l, nil
+}
+
+func inspect(path string, out io.Writer) error {
+	l, err := look(path)
+	if err != nil {
+		return err
+	}
+	if s := l.state; s != nil {
+		fmt.Fprintf(out, "log: version %d, %d records in %d bytes; the snapshot ends before group %d, the log with group %d (%d read)\n",
+			store.Version, s.Records, s.Bytes, s.Snapshot, s.Last, s.Groups)
+		if s.CutOff > 0 {
+			fmt.Fprintf(out, "log: %d bytes of an unfinished group at the end, never acknowledged: cut off at the next start\n", s.CutOff)
+		}
+		kinds := s.Kinds()
+		var names []string
+		for k := range kinds {
+			names = append(names, k)
+		}
+		sort.Strings(names)
+		for _, k := range names {
+			fmt.Fprintf(out, "  %-10s %d\n", k, kinds[k])
+		}
+	}
+	if k := l.knowledge; k != nil {
+		sick, resting := 0, 0
+		for _, m := range k.Learned.Machines {
+			if m.Sick > 0 {
+				sick++
+			}
+			if m.RestUntil > 0 {
+				resting++
+			}
+		}
+		at := time.UnixMicro(int64(k.At.Clock) * 100)
+		how := "while it ran"
+		if k.AtAnOrder {
+			how = "at an orderly end"
+		}
+		fmt.Fprintf(out, "knowledge: version %d, written %s ago, %s; list version %d with %d machines, evidence against %d, %d resting\n",
+			host.KnowledgeVersion, time.Since(at).Round(time.Millisecond), how, k.ListIs, len(k.Entries), sick, resting)
+	}
+	return errors.Join(l.stateErr, l.knownErr)
+}
+
+// verify exits with 1 where anything is not as it was written.
+func verify(path string, out, fault io.Writer) error {
+	l, err := look(path)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(l.stateErr, l.knownErr); err != nil {
+		fmt.Fprintln(fault, err)
+		return exitCode(1)
+	}
+	fmt.Fprintf(out, "%s: good, %d records, %d groups\n", path, l.state.Records, l.state.Groups)
+	return nil
+}
+
+// export writes what can be read, and then the fault where there is one.
+func export(path string, out io.Writer) error {
+	l, err := look(path)
+	if err != nil {
+		return err
+	}
+	decode, err := cbor.DecOptions{DefaultMapType: reflect.TypeFor[map[string]any]()}.DecMode()
+	if err != nil {
+		return err
+	}
+	lines := json.NewEncoder(out)
+	if l.state != nil {
+		kinds := l.state.Kinds()
+		names := make([]string, 0, len(kinds))
+		for k := range kinds {
+			names = append(names, k)
+		}
+		sort.Strings(names)
+		for _, kind := range names {
+			if err := l.state.Each(kind, func(key string, value []byte) error {
+				var v any
+				if err := decode.Unmarshal(value, &v); err != nil {
+					return fmt.Errorf("%s %s: %w", kind, key, err)
+				}
+				return lines.Encode(map[string]any{"kind": kind, "key": key, "value": v})
+			}); err != nil {
+				return err
+			}
+		}
+	}
+	if k := l.knowledge; k != nil {
+		known := *k
+		known.Learned.Traits = append([]placer.Trait(nil), known.Learned.Traits...)
+		for i := range known.Learned.Traits { // JSON has no word for infinity: the highest number stands for it
+			known.Learned.Traits[i].Bar = min(known.Learned.Traits[i].Bar, 1e308)
+		}
+		if err := lines.Encode(map[string]any{"kind": "knowledge", "value": known}); err != nil {
+			return err
+		}
+	}
+	return errors.Join(l.stateErr, l.knownErr)
+}
+
+func compact(path string, out io.Writer) error {
+	if _, err := disk.Look(path); err != nil { // Open would make it
+		return err
+	}
+	d, err := disk.Open(path)
+	if err != nil {
+		return err
+	}
+	defer d.Close()
+	before, after, err := store.Compact(d)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(out, "%s: %d records, %d bytes before, %d after\n", path, after.Records, before.Bytes, after.Bytes)
+	return nil
+}
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -83,6 +83,7 @@
 	machines   map[string]*listed
 	held       map[*offer]bool // out, or running
 	adopted    map[string]*offer
+	cancelled  map[string]bool // cancels by key that an answer is due to
 }
 
 type listed struct {
@@ -158,7 +159,7 @@
 	l := j.placers[name]
 	if l == nil {
 		l = &life{name: name, containers: map[string]*container{}, machines: map[string]*listed{},
-			held: map[*offer]bool{}, adopted: map[string]*offer{}}
+			held: map[*offer]bool{}, adopted: map[string]*offer{}, cancelled: map[string]bool{}}
 		j.placers[name] = l
 	}
 	return l
@@ -199,6 +200,8 @@
 	case *link.Cancel:
 		if c := l.containers[f.Container]; c != nil {
 			c.cancel = true
+		} else if f.Key != "" { // an answer to it tells what became of the key
+			l.cancelled[f.Container] = true
 		}
 	case *link.Answer:
 		j.answered(l, e, f)
@@ -276,6 +279,10 @@
 // answered holds the answer against rules 1 and 2.
 func (j *judge) answered(l *life, e *tap.Entry, f *link.Answer) {
 	c := l.containers[f.Container]
+	if c == nil && l.cancelled[f.Container] {
+		delete(l.cancelled, f.Container)
+		return
+	}
 	if c == nil {
 		j.fail(1, e.At, nil, "an answer for %s, which was not asked of %s", f.Container, l.name)
 		return
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -46,6 +46,12 @@
 		Caller Caller
 		Ask    placer.Ask
 	}
+	// Cancelled is an owner's word that it no longer wants a container, or what runs under a key.
+	Cancelled struct {
+		Caller Caller
+		ID     placer.ContainerID
+		Key    string
+	}
 	// Answered is a final answer other than placed; Placed a machine's yes in time.
 	Answered struct{ ID placer.ContainerID }
 	Placed   struct {
@@ -80,22 +86,23 @@
 	Woke    struct{}
 )
 
-func (Called) event()   {}
-func (Left) event()     {}
-func (Asked) event()    {}
-func (Answered) event() {}
-func (Placed) event()   {}
-func (Ended) event()    {}
-func (Logged) event()   {}
-func (Unheard) event()  {}
-func (Told) event()     {}
-func (LateYes) event()  {}
-func (Holds) event()    {}
-func (Broke) event()    {}
-func (NoLink) event()   {}
-func (Named) event()    {}
-func (Unnamed) event()  {}
-func (Woke) event()     {}
+func (Called) event()    {}
+func (Left) event()      {}
+func (Asked) event()     {}
+func (Cancelled) event() {}
+func (Answered) event()  {}
+func (Placed) event()    {}
+func (Ended) event()     {}
+func (Logged) event()    {}
+func (Unheard) event()   {}
+func (Told) event()      {}
+func (LateYes) event()   {}
+func (Holds) event()     {}
+func (Broke) event()     {}
+func (NoLink) event()    {}
+func (Named) event()     {}
+func (Unnamed) event()   {}
+func (Woke) event()      {}
 
 // Action is something to be done.
 type Action interface{ action() }
@@ -124,6 +131,16 @@
 		As      placer.ContainerID // the id it runs under
 		Machine placer.MachineID
 	}
+	// Cease ends a container for a caller that knows it by an id, Ceased says that nothing of what it names is there.
+	Cease struct {
+		Caller Caller
+		ID     placer.ContainerID
+		As     placer.ContainerID
+	}
+	Ceased struct {
+		Caller Caller
+		ID     placer.ContainerID
+	}
 	// CallOff stops a bid at its machine.
 	CallOff struct {
 		Machine placer.MachineID
@@ -153,6 +170,8 @@
 func (Pass) action()    {}
 func (Refuse) action()  {}
 func (Stands) action()  {}
+func (Cease) action()   {}
+func (Ceased) action()  {}
 func (CallOff) action() {}
 func (Adopt) action()   {}
 func (Lost) action()    {}
@@ -220,6 +239,8 @@
 			delete(t.callers, e.Caller)
 		case Asked:
 			t.asked(e)
+		case Cancelled:
+			t.cancelled(e)
 		case Answered:
 			if c := t.own[e.ID]; c != nil {
 				t.shut(c)
@@ -315,6 +336,28 @@
 	}
 }
 
+// cancelled ends what an id or a key stands for. Where a key is named and nothing is known of it, the answer tells
+// whether that is sure: a placer that has just come up does not know yet what runs.
+func (t *Table) cancelled(e Cancelled) {
+	c := t.own[e.ID]
+	if c == nil {
+		c = t.keys[e.Key]
+	}
+	switch {
+	case c != nil:
+		if c.late != nil { // or it would be taken over, and nobody would end it
+			t.callOff(*c.late)
+			c.late = nil
+		}
+		t.do(Cease{e.Caller, c.id, e.ID})
+	case e.Key == "":
+	case t.round.Unsure(e.Key) != "":
+		t.do(Refuse{e.Caller, e.ID, t.round.Unsure(e.Key), holdOff})
+	default:
+		t.do(Ceased{e.Caller, e.ID})
+	}
+}
+
 // shut notes that a container's final answer is out.
 func (t *Table) shut(c *container) {
 	if !c.open {
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -47,6 +47,10 @@
 			all = append(all, "lost "+string(a.ID))
 		case Reach:
 			all = append(all, "reach "+string(a.Machine))
+		case Cease:
+			all = append(all, fmt.Sprintf("cease %s as %s", a.ID, a.As))
+		case Ceased:
+			all = append(all, "ceased "+string(a.ID))
 		case Dismiss:
 			all = append(all, fmt.Sprint("dismiss ", a.Caller))
 		}
@@ -122,6 +126,16 @@
 		{"reset, then named by its machine", []any{Asked{1, ask("a", 2)}, Ended{"a"},
 			Holds{"m", []Held{held("a", 2, 5, 9, true)}}}, "adopt a"},
 
+		{"cancelled", []any{Asked{1, ask("a", 0)}, Cancelled{1, "a", "k-a"}}, "cease a as a"},
+		{"cancelled by its key", []any{Asked{1, ask("a", 0)}, Cancelled{1, "x", "k-a"}}, "cease a as x"},
+		{"cancelled, and an earlier bid runs", []any{Asked{1, ask("a", 1)}, LateYes{held("a", 1, 5, 9, true)}, Cancelled{1, "a", "k-a"}},
+			"call off 5.9, cease a as a"},
+		// A placer that has just come up does not know what runs: "nothing" would leave it running for ever.
+		{"cancelled, and nobody has told yet", []any{Cancelled{1, "x", "k-a"}}, "refuse x"},
+		{"cancelled, all have told", []any{named, told, Cancelled{1, "x", "k-a"}}, "ceased x"},
+		{"cancelled, and it is in doubt", []any{named, told, Unheard{held("a", 2, 5, 9, false)}, Cancelled{1, "x", "k-a"}}, "refuse x"},
+		{"cancelled, only an id is known", []any{named, told, Cancelled{1, "x", ""}}, ""},
+
 		{"link broken, tried at once", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"}}, "reach m"},
 		{"nothing runs there", []any{Broke{"m"}}, ""},
 		{"still named", []any{Asked{1, ask("a", 0)}, Placed{"a", "m", 9}, Broke{"m"},
--- a/internal/host/door.go
+++ b/internal/host/door.go
@@ -116,7 +116,7 @@
 	case *link.Submit:
 		h.submitted(o, f)
 	case *link.Cancel:
-		h.cancel(o, f)
+		h.tell(custody.Cancelled{Caller: o.caller, ID: placer.ContainerID(f.Container), Key: f.Key})
 	case *link.AskWhy:
 		o.write(h.explain(f))
 	case *link.AskRoutes:
@@ -201,22 +201,19 @@
 	h.send(a.Caller, &link.Answer{Container: string(a.ID), Verdict: link.TurnedAway, HoldOff: link.Span(a.HoldOff), Text: a.Why})
 }
 
-// cancel ends a container that its owner no longer wants.
-func (h *Host) cancel(o *owner, f *link.Cancel) {
-	id := placer.ContainerID(f.Container)
+// cease ends a container that its owner no longer wants. Whoever asks for its end hears it.
+func (h *Host) cease(a custody.Cease) {
+	id, o := a.ID, h.owners[a.Caller]
 	c := h.open[id]
-	if c == nil && f.Key != "" {
-		for other, x := range h.open { // rare: it was asked for under another id
-			if x.ask.Key == f.Key {
-				id, c = other, x
-				break
-			}
-		}
+	if c == nil || o == nil {
+		return
 	}
-	if c == nil || c.owner != nil && c.owner != o {
+	if c.owner != nil && c.owner != o && !c.owner.dropped {
+		o.write(&link.Answer{Container: string(a.As), Verdict: link.TurnedAway, Text: "it is another owner's"})
 		return
 	}
 	if b := c.bid; b != nil && b.placed {
+		c.owner, c.heardAs = o, string(a.As)
 		h.callOff(b) // its end is told when the machine says so
 		return
 	}
@@ -224,7 +221,10 @@
 	if !c.answered {
 		c.answered = true
 		h.meter.answered(link.GivenUp)
-		o.write(&link.Answer{Container: string(id), Verdict: link.GivenUp, Text: "cancelled"})
+		if c.owner != nil && c.heardAs != string(a.As) {
+			c.owner.write(&link.Answer{Container: c.heardAs, Verdict: link.GivenUp, Text: "cancelled"})
+		}
+		o.write(&link.Answer{Container: string(a.As), Verdict: link.GivenUp, Text: "cancelled"})
 		h.tell(custody.Answered{ID: id})
 	}
 	if b := c.bid; b != nil {
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -53,6 +53,10 @@
 	list      listLink
 	routes    *speaker.Speaker // nil where no address is announced
 	state     *state           // nil where nothing is kept
+	takeovers int              // so far
+	tookOver  map[string]int   // by service, the last one; emptied when no bid waits
+	unsent    int              // bids that wait for a link or the log
+	linked    []*machine       // that said in this turn what they hold
 	lastBid   uint64
 	lastOwner custody.Caller
 	lastSeq   uint64
@@ -83,6 +87,7 @@
 	sent    bool
 	placed  bool
 	stopped bool // its end was asked for
+	after   int  // takeovers before it was decided on
 	logged  bool // the log holds it
 	unkept  bool // it waits for the log
 }
@@ -91,7 +96,8 @@
 func New(s *site.Placer, d Decider, log *slog.Logger) (*Host, error) {
 	h := &Host{site: s, life: uint64(time.Now().UnixMicro()), log: log, decider: d,
 		open: map[placer.ContainerID]*container{}, machines: map[placer.MachineID]*machine{},
-		asking: map[placer.ContainerID]time.Duration{}, owners: map[custody.Caller]*owner{}, peers: map[int]*peer{}}
+		asking: map[placer.ContainerID]time.Duration{}, owners: map[custody.Caller]*owner{}, peers: map[int]*peer{},
+		tookOver: map[string]int{}}
 	h.lastBid = h.life // bid numbers are unique over all lives
 	var effects []placer.Effect
 	for _, w := range s.Terms.Workloads {
@@ -218,6 +224,10 @@
 		}
 		clear(h.asking)
 	}
+	for _, m := range h.linked { // what they run is taken over by now
+		m.sendWaiting()
+	}
+	h.linked = nil
 	if events := h.events; len(events) > 0 {
 		h.events = nil
 		began := h.loop.Clock()
@@ -289,6 +299,10 @@
 		if c := h.open[a.As]; c != nil { // who asked last hears its fate
 			c.owner, c.heardAs = h.owners[a.Caller], string(a.ID)
 		}
+	case custody.Cease:
+		h.cease(a)
+	case custody.Ceased:
+		h.send(a.Caller, &link.Answer{Container: string(a.ID), Verdict: link.GivenUp, Text: "cancelled"})
 	case custody.CallOff:
 		if m := h.machines[a.Machine]; m != nil && m.ready {
 			m.write(&link.Withdraw{Life: a.Life, Bid: a.Bid})
@@ -362,7 +376,7 @@
 		until = min(until, now+loop.Tick(a.MaxWait))
 	}
 	h.lastBid++
-	b := &bid{number: h.lastBid, life: h.life, nth: c.bids, c: c, at: m, sentAt: now, until: until}
+	b := &bid{number: h.lastBid, life: h.life, nth: c.bids, c: c, at: m, sentAt: now, until: until, after: h.takeovers}
 	c.bid = b
 	c.bids++
 	b.timer = h.loop.After(until-now, func() { h.timedOut(b) })
@@ -380,6 +394,7 @@
 	// the moment it decides, with an eighth of the window kept for the way; bids that pile up behind a link
 	// that is slow to stand would arrive together and push the machine over.
 	m.waiting = append(m.waiting, b)
+	h.unsent++
 	h.loop.After(h.site.Connect, func() {
 		if m.forgetWaiting(b) {
 			h.meter.outcome("no connection")
@@ -392,13 +407,16 @@
 // kept lets a bid go that waited for the log. One that could not be written down is never sent.
 func (h *Host) kept(b *bid, err error) {
 	b.unkept = false
-	if err == nil && !b.at.ready || !b.at.forgetWaiting(b) {
-		return
-	}
 	if err == nil {
-		b.at.offer(b)
-		return
+		if b.at.ready {
+			b.at.sendWaiting()
+		}
+	} else if b.at.forgetWaiting(b) {
+		h.notSent(b)
 	}
+}
+
+func (h *Host) notSent(b *bid) {
 	h.meter.outcome("not sent")
 	h.over(b, placer.Ended{Outcome: placer.NotSent})
 }
@@ -535,6 +553,10 @@
 	h.open[held.Ask.ID] = c
 	h.meter.running++
 	h.meter.adopted++
+	h.takeovers++
+	if h.unsent > 0 {
+		h.tookOver[held.Ask.Service] = h.takeovers
+	}
 	h.route(b, true)
 	h.feed(placer.TookOver{Ask: held.Ask, Machine: m.id})
 }
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -102,6 +102,7 @@
 	m.conn, m.ready = nil, false
 	waiting := m.waiting
 	m.waiting = nil
+	m.h.gone(len(waiting))
 	for _, b := range waiting {
 		m.h.meter.outcome("no connection")
 		m.h.over(b, placer.Ended{Outcome: placer.NoConnect})
@@ -143,6 +144,13 @@
 	return m.conn.Write(p) == nil
 }
 
+// gone counts bids that wait no longer.
+func (h *Host) gone(n int) {
+	if h.unsent -= n; h.unsent == 0 {
+		clear(h.tookOver)
+	}
+}
+
 func (m *machine) offer(b *bid) {
 	a, now := &b.c.ask, m.h.loop.Now()
 	b.sent = m.write(&link.Offer{Bid: b.number, Wait: link.Span(b.until - now), Work: link.Work{
@@ -157,11 +165,30 @@
 	m.h.meter.bid(b.c)
 }
 
+// sendWaiting sends the bids that waited for the link, but for those that still wait for the log. One whose service was
+// found to run more than was known when it was decided on is not sent: the module, which knows by now, decides anew.
+func (m *machine) sendWaiting() {
+	if !m.ready {
+		return
+	}
+	for _, b := range append([]*bid(nil), m.waiting...) {
+		if b.unkept || !m.forgetWaiting(b) {
+			continue
+		}
+		if m.h.tookOver[b.c.ask.Service] > b.after {
+			m.h.notSent(b)
+		} else {
+			m.offer(b)
+		}
+	}
+}
+
 // forgetWaiting takes a bid out of those that wait for the link, if it does.
 func (m *machine) forgetWaiting(b *bid) bool {
 	for i, w := range m.waiting {
 		if w == b {
 			m.waiting = append(m.waiting[:i], m.waiting[i+1:]...)
+			m.h.gone(1)
 			return true
 		}
 	}
@@ -224,15 +251,7 @@
 			m.write(&link.Withdraw{Life: b.life, Bid: b.number})
 		}
 	}
-	waiting := m.waiting
-	m.waiting = nil
-	for _, b := range waiting {
-		if b.unkept {
-			m.waiting = append(m.waiting, b)
-		} else {
-			m.offer(b)
-		}
-	}
+	m.h.linked = append(m.h.linked, m)
 	for _, p := range m.probes {
 		if !p.sent && !p.unkept {
 			p.sent = m.write(&link.Probe{Seq: p.seq})
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -493,6 +493,11 @@
 				delete(h.views, id)
 				h.publish(Containers, id, Container{ID: id, Job: a.Job, Index: a.Index}, true, true)
 			}
+		case keeper.Strayed:
+			k := KeptStray{h.doors[a.Stray.Door].addr, a.Stray.Key}
+			changes = append(changes, change(StrayKind, k.Door+" "+k.Key, k))
+		case keeper.Found:
+			changes = append(changes, store.Change{Kind: StrayKind, Key: h.doors[a.Stray.Door].addr + " " + a.Stray.Key})
 		case keeper.Wake:
 			h.loop.After(loop.Tick(a.After), func() { h.events = append(h.events, keeper.Woke{}) })
 		case keeper.Submit:
--- a/internal/jobs/kept.go
+++ b/internal/jobs/kept.go
@@ -17,6 +17,7 @@
 const (
 	JobKind       = "job"       // by id, with its version
 	ContainerKind = "container" // by id, as the keeper last had it
+	StrayKind     = "stray"     // by door and key: what may run at a placer that was lost
 	CeilingKind   = "ceiling"   // a version that no life has given out, and the next begins with
 )
 
@@ -39,6 +40,9 @@
 	Door      string // the address of the placer that was asked
 }
 
+// KeptStray is a stray as the log has it.
+type KeptStray struct{ Door, Key string }
+
 // NotKept says that something could not be put on disk, and so was not done.
 type NotKept struct{ Why error }
 
@@ -131,6 +135,19 @@
 		r.Containers = append(r.Containers, k.Container)
 		return nil
 	})
+	if err != nil {
+		return r, err
+	}
+	err = from.Each(StrayKind, func(id string, v []byte) error {
+		var k KeptStray
+		if err := cbor.Unmarshal(v, &k); err != nil {
+			return fmt.Errorf("stray %s: %w", id, err)
+		}
+		if d, there := doors[k.Door]; there {
+			r.Strays = append(r.Strays, keeper.Stray{Door: d, Key: k.Key})
+		}
+		return nil
+	})
 	return r, err
 }
 
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -22,6 +22,7 @@
 	settle       = 3 * placer.Second        // what may run is given so long to turn up
 	orphanAfter  = 10 * placer.Second       // reissuable work behind a lost door is started anew after this
 	lookAgain    = 500 * placer.Millisecond // behind a door that came back, by chance up to three times that
+	strayAfter   = placer.Second            // behind a door that came back
 )
 
 // Workload is what the keeper needs of one.
@@ -105,6 +106,7 @@
 	Restored struct {
 		Jobs       []Set
 		Containers []Container
+		Strays     []Stray
 	}
 	// Door tells that a placer's door stands open or is lost.
 	Door struct {
@@ -127,6 +129,13 @@
 	Woke struct{}
 )
 
+// Stray is reissuable work that was asked for at a placer that was lost then, and was asked for elsewhere since: a copy
+// may run there that nobody would end.
+type Stray struct {
+	Door int
+	Key  string
+}
+
 // Verdict is a placer's answer.
 type Verdict uint8
 
@@ -169,9 +178,14 @@
 		Job   string
 		Index int
 	}
-	Wake struct{ After placer.Time }
+	// Strayed and Found begin and end a stray.
+	Strayed struct{ Stray Stray }
+	Found   struct{ Stray Stray }
+	Wake    struct{ After placer.Time }
 )
 
+func (Strayed) action() {}
+func (Found) action()   {}
 func (Submit) action()  {}
 func (Cancel) action()  {}
 func (Changed) action() {}
@@ -189,6 +203,7 @@
 	open  []bool
 	lastN uint64
 	due   dueHeap
+	stray map[Stray]placer.Time // when each is ended; 0: its door is lost. Emptied when the door has been back a while
 	wake  placer.Time
 	dirty []*slot
 }
@@ -233,7 +248,7 @@
 }
 
 func New(t Terms) *Keeper {
-	return &Keeper{terms: t, rng: t.Seed*2862933555777941757 + 3037000493, lastN: t.First, jobs: map[string]*job{}, asks: map[string]*slot{},
+	return &Keeper{terms: t, rng: t.Seed*2862933555777941757 + 3037000493, lastN: t.First, jobs: map[string]*job{}, asks: map[string]*slot{}, stray: map[Stray]placer.Time{},
 		open: make([]bool, t.Doors)}
 }
 
@@ -265,14 +280,18 @@
 			k.act(d.slot)
 		}
 	}
+	next := k.endStrays()
 	for _, s := range k.dirty {
 		if s.dirty = false; !s.gone {
 			k.out = append(k.out, Changed{s.Container})
 		}
 	}
 	k.dirty = k.dirty[:0]
-	if len(k.due) > 0 && (k.wake <= now || k.due[0].at < k.wake) {
-		k.wake = k.due[0].at
+	if len(k.due) > 0 && (next == 0 || k.due[0].at < next) {
+		next = k.due[0].at
+	}
+	if next > 0 && (k.wake <= now || next < k.wake) {
+		k.wake = next
 		k.out = append(k.out, Wake{k.wake - now})
 	}
 	return k.out
@@ -280,6 +299,68 @@
 
 func (k *Keeper) do(a Action) { k.out = append(k.out, a) }
 
+// astray notes that a container's ask may have led to a copy that runs at its door.
+func (k *Keeper) astray(s *slot) {
+	if s.Door >= 0 && k.effect(s) == placer.Reissuable {
+		x := Stray{s.Door, s.Key}
+		k.stray[x] = 0
+		if k.open[s.Door] {
+			k.stray[x] = k.now + strayAfter
+		}
+		k.do(Strayed{x})
+	}
+}
+
+// ask is the id by which a stray's end is asked for, and strayOf the stray of an id.
+func (x Stray) ask() string { return fmt.Sprintf("stray#%d#%s", x.Door, x.Key) }
+
+func strayOf(ask string) (x Stray, is bool) {
+	rest, is := strings.CutPrefix(ask, "stray#")
+	door, key, ok := strings.Cut(rest, "#")
+	n, err := strconv.Atoi(door)
+	return Stray{n, key}, is && ok && err == nil
+}
+
+// strayAnswered ends a stray when its placer is sure that nothing of it runs; what runs is told by its fate.
+func (k *Keeper) strayAnswered(x Stray, e Answered) {
+	if _, there := k.stray[x]; !there {
+		return
+	}
+	if e.Verdict == TurnedAway {
+		k.stray[x] = k.now + max(soon, e.HoldOff)
+		return
+	}
+	k.found(x)
+}
+
+// found ends a stray.
+func (k *Keeper) found(x Stray) {
+	if _, there := k.stray[x]; there {
+		delete(k.stray, x)
+		k.do(Found{x})
+	}
+}
+
+// endStrays ends the copies behind doors that have been back for a while, and returns when the next are due.
+func (k *Keeper) endStrays() (next placer.Time) {
+	var due []Stray
+	for x, at := range k.stray {
+		if at > 0 && at <= k.now {
+			due = append(due, x)
+		} else if at > 0 && (next == 0 || at < next) {
+			next = at
+		}
+	}
+	sort.Slice(due, func(i, j int) bool {
+		return due[i].Door < due[j].Door || due[i].Door == due[j].Door && due[i].Key < due[j].Key
+	})
+	for _, x := range due {
+		k.stray[x] = 0 // until an answer comes, or its door is back anew
+		k.do(Cancel{x.Door, x.ask(), x.Key})
+	}
+	return next
+}
+
 // chance is a part from 0 to 1.
 func (k *Keeper) chance() float64 {
 	k.rng ^= k.rng << 13
@@ -330,6 +411,9 @@
 		k.lastN = max(k.lastN, number(c.Key, "/"), number(c.Ask, "#"))
 		k.resume(s, n)
 	}
+	for _, x := range e.Strays {
+		k.stray[x] = 0
+	}
 	for _, id := range k.jobIDs() {
 		k.fit(k.jobs[id])
 	}
@@ -430,15 +514,23 @@
 	}
 }
 
-// callOff ends one that may run, by the placer that knows; while its door is lost it stays, or a later one in its
-// place could be a second copy.
+// callOff ends one that may run, by the placer that knows, and waits for its word; while its door is lost it stays, or a
+// later one in its place could be a second copy.
 func (k *Keeper) callOff(s *slot) {
 	if s.Door < 0 || !k.open[s.Door] {
 		k.turn(s, Unwatched, -1, s.Last)
 		return
 	}
+	k.forgetAsk(s)
+	k.freshAsk(s)
+	k.turn(s, Asking, -1, "called off")
 	k.do(Cancel{s.Door, s.Ask, s.Key})
-	k.remove(s)
+}
+
+func (k *Keeper) freshAsk(s *slot) {
+	k.lastN++
+	s.Ask = fmt.Sprintf("%s/%d#%d", s.Job, s.Index, k.lastN)
+	k.asks[s.Ask] = s
 }
 
 func (k *Keeper) remove(s *slot) {
@@ -514,6 +606,7 @@
 		k.wait(s, 0, "made sure")
 	case Unwatched:
 		if k.effect(s) == placer.Reissuable {
+			k.astray(s)
 			k.forgetAsk(s)
 			k.freshKey(s)
 			k.wait(s, soon, "its placer stays away")
@@ -541,9 +634,7 @@
 		return
 	}
 	k.forgetAsk(s)
-	k.lastN++
-	s.Ask = fmt.Sprintf("%s/%d#%d", s.Job, s.Index, k.lastN)
-	k.asks[s.Ask] = s
+	k.freshAsk(s)
 	s.Door, s.revision, s.With = door, s.job.revision, s.job.spec
 	s.Tries++
 	left := placer.Second
@@ -556,6 +647,10 @@
 }
 
 func (k *Keeper) answered(e Answered) {
+	if x, is := strayOf(e.Ask); is {
+		k.strayAnswered(x, e)
+		return
+	}
 	s := k.asks[e.Ask]
 	if s == nil || s.State != Asking || s.Ask != e.Ask {
 		return
@@ -565,6 +660,7 @@
 	}
 	switch e.Verdict {
 	case Placed:
+		k.found(Stray{s.Door, s.Key}) // that placer knows the key now, and leaves one copy of it
 		s.Machine, s.Tries = e.Machine, 0
 		s.Starts++
 		k.turn(s, Running, -1, "runs")
@@ -580,8 +676,8 @@
 		}
 	}
 	if s.Leaving {
-		if e.Verdict == TurnedAway && s.Pinned { // that says nothing of what may run
-			k.callOff(s)
+		if e.Verdict == TurnedAway && (s.Pinned || s.Last == "called off") { // that says nothing of what may run
+			k.turn(s, Guarded, max(soon, e.HoldOff), s.Last)
 			return
 		}
 		k.remove(s)
@@ -609,8 +705,12 @@
 }
 
 func (k *Keeper) fated(e Fated) {
+	if x, is := strayOf(e.Ask); is {
+		k.found(x)
+		return
+	}
 	s := k.asks[e.Ask]
-	if s == nil || s.State != Running && s.State != Unwatched {
+	if s == nil || s.State != Running && s.State != Unwatched && !(s.State == Asking && s.Leaving) {
 		return
 	}
 	lost := e.Outcome == placer.Reset && e.Reason == placer.NoReason
@@ -650,10 +750,19 @@
 		return
 	}
 	k.open[e.Number] = e.Open
+	for x := range k.stray {
+		if x.Door == e.Number {
+			k.stray[x] = 0
+			if e.Open {
+				k.stray[x] = k.now + strayAfter
+			}
+		}
+	}
 	for _, s := range k.ordered() {
 		mine := s.Door == e.Number
 		switch {
 		case !e.Open && mine && s.State == Asking:
+			k.astray(s)
 			if s.Leaving && k.effect(s) == placer.Reissuable {
 				k.remove(s)
 				continue
--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -49,7 +49,9 @@
 		case Removed:
 			delete(r.view, fmt.Sprint(a.Index))
 		case Wake:
-			r.wake = r.now + a.After
+			if r.wake == 0 || r.now+a.After < r.wake {
+				r.wake = r.now + a.After
+			}
 		}
 	}
 }
@@ -93,7 +95,7 @@
 		{"lost, at-most-once", 2, "placed lost 7s", "guarded 1"},
 		{"no placer", 0, "pushed away 9s", "waiting 1"},
 		{"the placer is back", 0, "pushed away 9s back 2s", "asking 2"},
-		{"its placer lost while asking, reissuable", 0, "away back 2s", "asking 2"},
+		{"its placer lost while asking, reissuable: what it may have started is ended", 0, "away back 2s", "asking 2, 1 cancelled"},
 		{"its placer lost while asking, at-most-once", 2, "away back 7s", "guarded 1"},
 		{"its placer lost while running", 2, "placed away 60s", "unwatched 1"},
 		{"and back", 2, "placed away 60s back 2s", "asking 2"},
@@ -101,7 +103,11 @@
 		{"scaled down while asking", 0, "down", "asking 1, 1 cancelled"},
 		{"scaled down, answered", 0, "down givenup", "removed 1, 1 cancelled"},
 		{"scaled down in the guard", 2, "givenup down 5s", "guarded 1"},
-		{"scaled down, the guard is over", 2, "givenup down 9s", "removed 1, 1 cancelled"},
+		{"scaled down, the guard is over", 2, "givenup down 9s", "asking 1, 1 cancelled"},
+		{"and its placer says that nothing runs", 2, "givenup down 9s ceased", "removed 1, 1 cancelled"},
+		// Without the wait a copy that its placer had not heard of yet ran on, and nobody knew of it.
+		{"and its placer is not sure", 2, "givenup down 9s unsure 1s", "asking 1, 2 cancelled"},
+		{"and it ran, and was stopped", 2, "givenup down 9s ended", "removed 1, 1 cancelled"},
 		{"scaled down and up in the guard", 2, "givenup down up 9s", "asking 2"},
 		{"scaled down while running", 0, "placed down stopped", "removed 1, 1 cancelled"},
 		{"a new spec", 0, "placed spec stopped 1s", "asking 2, 1 cancelled"},
@@ -125,6 +131,12 @@
 					r.do(Fated{ask, placer.Reset, placer.Evicted})
 				case "stopped":
 					r.do(Fated{ask, placer.Stopped, 0})
+				case "ceased":
+					r.do(Answered{Ask: r.off[len(r.off)-1], Verdict: GivenUp, Text: "cancelled"})
+				case "unsure":
+					r.do(Answered{Ask: r.off[len(r.off)-1], Verdict: TurnedAway})
+				case "ended":
+					r.do(Fated{r.off[len(r.off)-1], placer.Stopped, 0})
 				case "lost":
 					r.do(Fated{ask, placer.Reset, 0})
 				case "away":
@@ -215,10 +227,32 @@
 				case Submit:
 					asked = append(asked, sent{a, now, lives[a.Door]})
 				case Cancel:
-					if ask, on := keys[a.Key]; on && doors[a.Key] == a.Door && up[a.Door] {
+					if !up[a.Door] {
+						continue
+					}
+					if _, on := keys[a.Key]; on && doors[a.Key] == a.Door {
 						stop(a.Key)
-						feed(Fated{ask, placer.Stopped, 0})
+						asked = slices.DeleteFunc(asked, func(s sent) bool { return s.Key == a.Key && s.life == lives[a.Door] })
+						feed(Fated{a.Ask, placer.Stopped, 0})
+						continue
+					}
+					// While an earlier bid may start yet the placer is not sure, and takes no ask of its key either.
+					verdict, pending := GivenUp, -1
+					for i, s := range asked {
+						if s.Key == a.Key && s.Door == a.Door && s.life != lives[a.Door] && now-s.at < 4*sec {
+							verdict = TurnedAway
+						} else if s.Key == a.Key && s.Door == a.Door && s.life == lives[a.Door] {
+							pending = i
+						}
 					}
+					if pending >= 0 {
+						s := asked[pending]
+						asked = append(asked[:pending:pending], asked[pending+1:]...)
+						if s.Ask != a.Ask {
+							feed(Answered{Ask: s.Ask, Verdict: verdict, Text: "cancelled"})
+						}
+					}
+					feed(Answered{Ask: a.Ask, Verdict: verdict, Text: "cancelled"})
 				case Wake:
 					wake = now + a.After
 				}
@@ -345,8 +379,8 @@
 		{"guarded", 2, Guarded, nil, 1, "back 7s", "guarded 0"},
 		{"guarded, the wait is over", 2, Guarded, nil, 1, "back 9s", "asking 1 at 0 with j/0/41"},
 		{"finished", 0, Done, nil, 1, "back 9s", "done 0"},
-		{"its job was dropped", 2, Running, nil, -1, "back 2s", "removed 0, 1 cancelled"},
-		{"scaled down", 2, Running, nil, 0, "back 2s", "removed 0, 1 cancelled"},
+		{"its job was dropped", 2, Running, nil, -1, "back 2s ceased", "removed 0, 1 cancelled"},
+		{"scaled down", 2, Running, nil, 0, "back 2s ceased", "removed 0, 1 cancelled"},
 		{"scaled down, never asked for", 2, Waiting, func(c *Container) { c.Door, c.Again = -1, false }, 0, "", "removed 0"},
 		{"its placer is none any more", 2, Running, func(c *Container) { c.Door = -1 }, 1, "other 60s", "waiting 0"},
 		{"its placer is none any more, reissuable", 0, Running, func(c *Container) { c.Door = -1 }, 1, "other 1s", "asking 1 at 1 with another key"},
@@ -377,6 +411,8 @@
 					r.do(Door{1, true})
 				case "placed":
 					r.do(Answered{Ask: r.last().Ask, Verdict: Placed, Machine: "m"})
+				case "ceased":
+					r.do(Answered{Ask: r.off[len(r.off)-1], Verdict: GivenUp, Text: "cancelled"})
 				default:
 					var n placer.Time
 					fmt.Sscanf(w, "%ds", &n)
@@ -417,6 +453,7 @@
 		spec := Spec{Service: "s", Cores: 1}
 		jobs := map[string]Set{}             // kept
 		log := map[string]Container{}        // kept
+		strays := map[Stray]bool{}           // kept
 		runs := [2]map[string]string{{}, {}} // by door: key to ask
 		open := [2]bool{}
 		now, wake, life := placer.Time(0), placer.Time(0), uint64(0)
@@ -438,6 +475,9 @@
 			for _, c := range log {
 				e.Containers = append(e.Containers, c)
 			}
+			for x := range strays {
+				e.Strays = append(e.Strays, x)
+			}
 			do(e)
 		}
 		perform := func() {
@@ -457,7 +497,7 @@
 						do(Answered{Ask: a.Ask, Verdict: Placed, Machine: "m"})
 					case chance(4, "pushed back"):
 						do(Answered{Ask: a.Ask, Verdict: PushedBack})
-					case chance(4, "given up, and it runs"):
+					case effect == placer.AtMostOnce && chance(4, "given up, and it runs"): // a placer calls other work off then
 						at[a.Key] = a.Ask
 						do(Answered{Ask: a.Ask, Verdict: GivenUp})
 					case chance(6, "its link breaks, and it runs"):
@@ -481,12 +521,11 @@
 						}
 					}
 				case Cancel:
-					if ask, there := runs[a.Door][a.Key]; there && open[a.Door] {
+					if _, there := runs[a.Door][a.Key]; there && open[a.Door] {
 						delete(runs[a.Door], a.Key)
-						do(Fated{ask, placer.Stopped, 0})
-						if ask != a.Ask {
-							do(Answered{Ask: a.Ask, Verdict: GivenUp, Text: "cancelled"})
-						}
+						do(Fated{a.Ask, placer.Stopped, 0})
+					} else if open[a.Door] && chance(3, "not sure yet") {
+						do(Answered{Ask: a.Ask, Verdict: TurnedAway})
 					} else if open[a.Door] {
 						do(Answered{Ask: a.Ask, Verdict: GivenUp, Text: "cancelled"})
 					}
@@ -500,8 +539,14 @@
 					log[fmt.Sprintf("%s.%d", a.Container.Job, a.Container.Index)] = a.Container
 				case Removed:
 					delete(log, fmt.Sprintf("%s.%d", a.Job, a.Index))
+				case Strayed:
+					strays[a.Stray] = true
+				case Found:
+					delete(strays, a.Stray)
 				case Wake:
-					wake = now + a.After
+					if wake == 0 || now+a.After < wake {
+						wake = now + a.After
+					}
 				default:
 					todo = append(todo, a)
 				}
@@ -566,7 +611,7 @@
 		for _, at := range runs {
 			got += len(at)
 		}
-		if effect == placer.AtMostOnce && got != want || got < want {
+		if got != want || len(strays) > 0 { // without strays a second copy of reissuable work ran on for ever
 			t.Fatalf("%d run, %d are wanted: %v, log %+v", got, want, runs, log)
 		}
 	})
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -284,6 +284,7 @@
 
 func (c *Cluster) Kill(p *Placer) {
 	p.Stop(syscall.SIGKILL)
+	c.Net.Quiet(p.Name) // or the next life would be taken for the sender of what this one sent last
 	c.record.Note(tap.Killed, p.Name)
 }
 
--- a/internal/lab/loadapi.go
+++ b/internal/lab/loadapi.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,14 +21,14 @@
 		return err
 	}
 	defer b.close()
-	t := &WhyTrial{Out: out, Cluster: &Cluster{ListAddr: b.list.Addr().String(), Placers: []*Placer{b.placer}}}
-	if err := os.Rename(b.placer.file, dir+"/placer-0.yaml"); err != nil {
+	t, err := newKeeper(dir, program[0], b.list.Addr().String(), []*Placer{b.placer}, nil, dir+"/kept")
+	if err != nil {
 		return err
 	}
-	if err := t.startKeeperFor(dir, program[0], machines); err != nil {
+	defer t.stopKeeper()
+	if err := t.start(machines); err != nil {
 		return err
 	}
-	defer t.stopKeeper()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 100}}
 	get := func(path string) error {
 		a, err := client.Get("http://" + t.api + path)
@@ -92,7 +91,7 @@
 func ms(h *hdrhistogram.Histogram, q float64) float64 { return float64(h.ValueAtQuantile(q)) / 1000 }
 
 // fanOut changes a job and has every watcher tell when it read of it.
-func (t *WhyTrial) fanOut(watchers int, out io.Writer) error {
+func (t *keeperProcess) fanOut(watchers int, out io.Writer) error {
 	const changes = 50
 	if err := t.run("watched", "matcher", 0, 1, 1); err != nil {
 		return err
@@ -156,14 +155,14 @@
 		return err
 	}
 	defer b.close()
-	t := &WhyTrial{Out: out, Cluster: &Cluster{ListAddr: b.list.Addr().String(), Placers: []*Placer{b.placer}}}
-	if err := os.Rename(b.placer.file, dir+"/placer-0.yaml"); err != nil {
+	t, err := newKeeper(dir, program[0], b.list.Addr().String(), []*Placer{b.placer}, nil, dir+"/kept")
+	if err != nil {
 		return err
 	}
-	if err := t.startKeeperFor(dir, program[0], machines); err != nil {
+	defer t.stopKeeper()
+	if err := t.start(machines); err != nil {
 		return err
 	}
-	defer t.stopKeeper()
 	total := int(float64(rate) * length.Seconds())
 	sent := make([]atomic.Int64, total)
 	took := hdrhistogram.New(1, 60_000_000, 3)
--- a/internal/lab/why.go
+++ b/internal/lab/why.go
@@ -1,20 +1,12 @@
 package lab
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"sort"
 	"strings"
-	"syscall"
 	"time"
 
-	"bytes"
-
 	"glenport/internal/link"
 	"glenport/internal/standin"
 
@@ -30,8 +22,7 @@
 	Lie     bool // read another code than the API tells, to show that the trial sees it
 	Out     io.Writer
 
-	api    string
-	proc   *exec.Cmd
+	keeperProcess
 	delays *hdrhistogram.Histogram
 	checks int
 	missed []string
@@ -46,10 +37,13 @@
 		return false, err
 	}
 	defer t.Cluster.Close()
-	if err := t.startKeeper(dir, program[0]); err != nil {
+	if t.keeperProcess, err = newKeeper(dir, program[0], t.Cluster.ListAddr, t.Cluster.Placers, nil, ""); err != nil {
 		return false, err
 	}
 	defer t.stopKeeper()
+	if err := t.start(len(t.Cluster.Machines)); err != nil {
+		return false, err
+	}
 	for i, step := range []struct {
 		name string
 		play func() error
@@ -75,85 +69,6 @@
 	return len(t.missed) == 0, nil
 }
 
-func (t *WhyTrial) startKeeper(dir, program string) error {
-	return t.startKeeperFor(dir, program, len(t.Cluster.Machines))
-}
-
-// startKeeperFor waits until the keeper knows so many machines.
-func (t *WhyTrial) startKeeperFor(dir, program string, machines int) (err error) {
-	if t.api, err = freePort(); err != nil {
-		return err
-	}
-	var doors []string
-	for _, p := range t.Cluster.Placers {
-		doors = append(doors, p.Door)
-	}
-	text := fmt.Sprintf("name: keeper\napi: %s\nplacer_file: placer-0.yaml\nlist: %s\ndoors: [%s]\n", t.api, t.Cluster.ListAddr,
-		strings.Join(doors, ", "))
-	file := filepath.Join(dir, "keeper.yaml")
-	if err := os.WriteFile(file, []byte(text), 0o644); err != nil {
-		return err
-	}
-	t.proc = exec.Command(program, "keeper", "-c", file)
-	log, err := os.Create(filepath.Join(dir, "keeper.log"))
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	t.proc.Stderr = log
-	if err := t.proc.Start(); err != nil {
-		return err
-	}
-	return t.until("the keeper answers and knows all machines", 10*time.Second, func() bool {
-		var all struct{ Items []any }
-		return t.get("/v1/machines?limit=1000", &all) == nil && len(all.Items) == machines
-	})
-}
-
-func (t *WhyTrial) stopKeeper() {
-	t.proc.Process.Signal(syscall.SIGTERM)
-	t.proc.Wait()
-}
-
-func (t *WhyTrial) until(what string, within time.Duration, holds func() bool) error {
-	for end := time.Now().Add(within); !holds(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(end) {
-			return fmt.Errorf("not within %v: %s", within, what)
-		}
-	}
-	return nil
-}
-
-func (t *WhyTrial) get(path string, into any) error { return t.do("GET", path, nil, into) }
-
-func (t *WhyTrial) do(method, path string, in, into any) error {
-	var body io.Reader
-	if in != nil {
-		p, _ := json.Marshal(in)
-		body = bytes.NewReader(p)
-	}
-	r, err := http.NewRequest(method, "http://"+t.api+path, body)
-	if err != nil {
-		return err
-	}
-	a, err := http.DefaultClient.Do(r)
-	if err != nil {
-		return err
-	}
-	defer a.Body.Close()
-	data, err := io.ReadAll(a.Body)
-	if err != nil {
-		return err
-	}
-	if a.StatusCode >= 400 {
-		return fmt.Errorf("%s %s: %s", method, path, data)
-	}
-	if into != nil {
-		return json.Unmarshal(data, into)
-	}
-	return nil
-}
-
 type whyAnswer struct {
 	State   string
 	Reasons []struct {
@@ -230,38 +145,6 @@
 	}
 }
 
-type jobText map[string]any
-
-func (t *WhyTrial) run(id, workload string, count int, cores, memory float64) error {
-	return t.do("POST", "/v1/jobs", jobText{"id": id, "service": id, "workload": workload, "cores": cores, "memory_gib": memory,
-		"count": count, "run_for_ms": 3600_000}, nil)
-}
-
-func (t *WhyTrial) stop(id string) error {
-	if err := t.do("DELETE", "/v1/jobs/"+id, nil, nil); err != nil {
-		return err
-	}
-	return t.until(id+" has ended", 30*time.Second, func() bool { return t.count(id, "") == 0 })
-}
-
-func (t *WhyTrial) count(job, state string) int {
-	var all struct{ Items []struct{ State string } }
-	if t.get("/v1/containers?limit=1000&field=job="+job, &all) != nil {
-		return -1
-	}
-	n := 0
-	for _, c := range all.Items {
-		if state == "" || c.State == state {
-			n++
-		}
-	}
-	return n
-}
-
-func (t *WhyTrial) running(job string, n int) error {
-	return t.until(fmt.Sprintf("%d of %s run", n, job), 30*time.Second, func() bool { return t.count(job, "running") == n })
-}
-
 // fits counts, by the machines' own state, those that would take a container.
 func (t *WhyTrial) fits(cores, memory float64) int {
 	n := 0
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -341,6 +341,17 @@
 	return fmt.Sprintf("this placer came up %d ms ago and does not know yet what runs", (r.now-r.began)/placer.Millisecond)
 }
 
+// Unsure tells why it is not known yet whether anything of a key runs, or is empty.
+func (r *Round) Unsure(key string) string {
+	if all := r.doubts[key]; len(all) > 0 {
+		return fmt.Sprintf("key %s may run on machine %s, which has not told", key, all[0].held.Machine)
+	}
+	if !r.said && !r.toldAll() {
+		return fmt.Sprintf("this placer came up %d ms ago and does not know yet what runs", (r.now-r.began)/placer.Millisecond)
+	}
+	return ""
+}
+
 // earlier tells whether a doubt is of an earlier life. Of this life the placer module holds numbered work to its
 // group and window by itself; of an earlier one nobody knows when its bid was sent.
 func (r *Round) earlier(d doubt) bool { return d.since == r.began }
--- a/internal/standin/machine.go
+++ b/internal/standin/machine.go
@@ -358,6 +358,32 @@
 	}
 }
 
+// Holds is the work that runs, or nothing while the machine is frozen.
+func (m *Machine) Holds() []link.Work {
+	m.mu.Lock()
+	idle := m.frozen || m.ended
+	m.mu.Unlock()
+	if idle {
+		return nil
+	}
+	got := make(chan []link.Work, 1)
+	m.post(func() {
+		var all []link.Work
+		for _, r := range m.runs {
+			if r.running {
+				all = append(all, r.work)
+			}
+		}
+		got <- all
+	})
+	select {
+	case all := <-got:
+		return all
+	case <-time.After(200 * time.Millisecond):
+		return nil
+	}
+}
+
 func (m *Machine) listen(l net.Listener) {
 	for {
 		c, err := l.Accept()
--- a/internal/standin/owners.go
+++ b/internal/standin/owners.go
@@ -39,6 +39,7 @@
 	Lost       int
 	Unsent     int // no placer could be reached
 	Waiting    int
+	Late       int                     // of the placed, those that took more than a second
 	Took       *hdrhistogram.Histogram // submission to Placed, in microseconds
 }
 
@@ -105,6 +106,15 @@
 	return n
 }
 
+// Snapshot is the tally so far, without the times.
+func (o *Owners) Snapshot() Tally {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	t := o.tally
+	t.Took = nil
+	return t
+}
+
 // Again is the number of submissions so far that came before.
 func (o *Owners) Again() int {
 	o.mu.Lock()
@@ -342,7 +352,11 @@
 		case link.Placed:
 			w.placed = true
 			o.tally.Placed++
-			o.tally.Took.RecordValue(max(1, time.Since(w.sentAt).Microseconds()))
+			took := time.Since(w.sentAt)
+			o.tally.Took.RecordValue(max(1, took.Microseconds()))
+			if took > time.Second {
+				o.tally.Late++
+			}
 			return
 		case link.PushedBack:
 			o.tally.PushedBack++
--- a/internal/store/format.go
+++ b/internal/store/format.go
@@ -51,7 +51,7 @@
 }
 
 func (c *Corrupt) Error() string {
-	return fmt.Sprintf("%s, at byte %d: %s; nothing was changed: put a good copy of the folder back, or see `glenport state export`",
+	return fmt.Sprintf("%s, at byte %d: %s; nothing was changed: put a good copy of the folder back; `glenport state export` gives what stands before the damage",
 		c.File, c.At, c.Text)
 }
 
@@ -236,7 +236,7 @@
 	next := uint64(1)
 	if n := len(snaps); n > 0 {
 		if err := s.readSnapshot(d, snaps[n-1]); err != nil {
-			return nil, err
+			return s, err
 		}
 		next = snaps[n-1].first
 		for _, old := range snaps[:n-1] {
@@ -251,14 +251,14 @@
 	for i := range logs {
 		l := &logs[i]
 		if l.first != s.Last+1 {
-			return nil, &Corrupt{l.name, 0, fmt.Sprintf("it begins with group %d, and the one wanted next is %d: a file is missing", l.first, s.Last+1)}
+			return s, &Corrupt{l.name, 0, fmt.Sprintf("it begins with group %d, and the one wanted next is %d: a file is missing", l.first, s.Last+1)}
 		}
 		if err := s.readLog(d, l, i == len(logs)-1); err != nil {
-			return nil, err
+			return s, err
 		}
 	}
 	if len(logs) == 0 && len(snaps) > 0 {
-		return nil, &Corrupt{snaps[len(snaps)-1].name, 0, fmt.Sprintf("the log from group %d on is missing", next)}
+		return s, &Corrupt{snaps[len(snaps)-1].name, 0, fmt.Sprintf("the log from group %d on is missing", next)}
 	}
 	s.logs = logs
 	return s, nil
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -189,6 +189,9 @@
 	if err == nil {
 		err = s.log.Sync()
 	}
+	if s.safe = s.last; err == nil { // an empty group that tells that all before it was on disk
+		err = s.mark()
+	}
 	if c := s.log.Close(); err == nil {
 		err = c
 	}
@@ -285,6 +288,20 @@
 	return nil
 }
 
+// mark ends a log in order: damage before it is then told from what a crash leaves.
+func (s *Store) mark() error {
+	if s.size == headerSize {
+		return nil
+	}
+	if _, err := s.log.Write(frame(nil, s.last+1, s.safe, emptyGroup)); err != nil {
+		return err
+	}
+	s.last++
+	return s.log.Sync()
+}
+
+var emptyGroup = []byte{0x80} // no changes, in CBOR
+
 func (s *Store) fail(why error) {
 	s.broken = fmt.Errorf("%w (%w)", ErrBroken, why)
 	s.terms.OnMode("state broken: nothing more is kept", "why", why)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -64,6 +64,16 @@
 
 const first = "log-0000000000000001"
 
+func snapshotOf(d disk.Folder) string {
+	names, _ := d.List()
+	for _, n := range names {
+		if strings.HasPrefix(n, snapName) {
+			return n
+		}
+	}
+	return ""
+}
+
 // What is damaged is told with its place; only what a crash may leave is read over.
 func TestDamage(t *testing.T) {
 	for _, tc := range []struct {
@@ -76,7 +86,7 @@
 		{"a truncated tail", func(t *testing.T, d *faultdisk.Disk) {
 			p, _ := d.Read(first)
 			f, _ := d.Append(first)
-			f.Truncate(int64(len(p) - 50))
+			f.Truncate(int64(len(p) - 80)) // the mark of the orderly end, and a part of the last group
 			f.Sync()
 		}, "", 9},
 		{"a corrupt middle", func(t *testing.T, d *faultdisk.Disk) { d.Flip(first, 8*400) }, "group 3 is damaged; it was kept, as group 4", 0},
@@ -93,13 +103,13 @@
 			if _, _, err := Compact(d); err != nil {
 				t.Fatal(err)
 			}
-			f, _ := d.Append("snapshot-000000000000000b")
+			f, _ := d.Append(snapshotOf(d))
 			f.Truncate(300)
 		}, "part 0 of it is damaged", 0},
 		{"a snapshot without its log", func(t *testing.T, d *faultdisk.Disk) {
 			Compact(d)
-			d.Remove("log-000000000000000b")
-		}, "the log from group 11 on is missing", 0},
+			d.Remove(strings.Replace(snapshotOf(d), snapName, logName, 1))
+		}, "the log from group 13 on is missing", 0},
 		{"compacted", func(t *testing.T, d *faultdisk.Disk) { Compact(d); Compact(d) }, "", 10},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -233,6 +243,9 @@
 				t.Error(err)
 			}
 		})
+		if i%20 == 0 { // or all is one group
+			commit1(s, false)
+		}
 	}
 	if err := commit1(s, true); err != nil {
 		t.Fatal(err)
--- a/internal/tap/tap.go
+++ b/internal/tap/tap.go
@@ -100,6 +100,21 @@
 	return l.Addr().String(), nil
 }
 
+// Quiet waits until all that a dead placer had sent is written down.
+func (n *Net) Quiet(placer string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for open := true; open; {
+		open = false
+		for w := range n.links {
+			open = open || w.placer == placer && !w.over
+		}
+		if open {
+			n.changed.Wait()
+		}
+	}
+}
+
 // wire is one link through a tap.
 type wire struct {
 	n           *Net
