Look by key; cold sends that an old list does not know; called-off bids count

Need: with machines that come back cold between the kills, trial restart found four breaks. The keeper asked again for the key of at-most-once work that had run (rule 2). A life that began with a list older than a machine's start dropped what the life before had sent to that start, 32 of 30 offers in a window (rule 4). A bid of an earlier life that only waited was called off and not counted until its end (rule 5).

Change: a frame Look asks a placer what runs under a key and starts nothing; where nothing does, the keeper begins a new container, and none where the work was to run once. What was sent to starts not yet told is taken up when a list tells of them, before any ask. Called-off bids of earlier lives count until their machine says that they are over.

--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -83,7 +83,7 @@
 	machines   map[string]*listed
 	held       map[*offer]bool // out, or running
 	adopted    map[string]*offer
-	cancelled  map[string]bool // cancels by key that an answer is due to
+	cancelled  map[string]bool // cancels and looks by key that an answer is due to
 }
 
 type listed struct {
@@ -203,6 +203,8 @@
 		} else if f.Key != "" { // an answer to it tells what became of the key
 			l.cancelled[f.Container] = true
 		}
+	case *link.Look:
+		l.cancelled[f.Container] = true
 	case *link.Answer:
 		j.answered(l, e, f)
 	case *link.Offer:
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -52,6 +52,12 @@
 		ID     placer.ContainerID
 		Key    string
 	}
+	// Looked asks for what runs under a key; nothing is to be started.
+	Looked struct {
+		Caller Caller
+		ID     placer.ContainerID
+		Key    string
+	}
 	// Answered is a final answer other than placed; Placed a machine's yes in time.
 	Answered struct{ ID placer.ContainerID }
 	Placed   struct {
@@ -90,6 +96,7 @@
 func (Left) event()      {}
 func (Asked) event()     {}
 func (Cancelled) event() {}
+func (Looked) event()    {}
 func (Answered) event()  {}
 func (Placed) event()    {}
 func (Ended) event()     {}
@@ -141,6 +148,11 @@
 		Caller Caller
 		ID     placer.ContainerID
 	}
+	// Absent says that nothing runs under the key that a caller looked for.
+	Absent struct {
+		Caller Caller
+		ID     placer.ContainerID
+	}
 	// CallOff stops a bid at its machine.
 	CallOff struct {
 		Machine placer.MachineID
@@ -172,6 +184,7 @@
 func (Stands) action()  {}
 func (Cease) action()   {}
 func (Ceased) action()  {}
+func (Absent) action()  {}
 func (CallOff) action() {}
 func (Adopt) action()   {}
 func (Lost) action()    {}
@@ -209,6 +222,7 @@
 	machine placer.MachineID // where it runs, by which bid of which life
 	life    uint64
 	bid     uint64
+	ending  bool  // it was called off when it was found, and has not ended yet
 	late    *Held // a bid that was over and runs, while the container is still open
 }
 
@@ -241,6 +255,8 @@
 			t.asked(e)
 		case Cancelled:
 			t.cancelled(e)
+		case Looked:
+			t.looked(e)
 		case Answered:
 			if c := t.own[e.ID]; c != nil {
 				t.shut(c)
@@ -317,6 +333,8 @@
 		refuse(0, "there is no workload %d", e.Ask.Workload)
 	case t.own[e.Ask.ID] != nil:
 		refuse(0, "container %s is known already", e.Ask.ID)
+	case c != nil && c.ending:
+		refuse(holdOff, "an earlier bid of key %s is being called off", e.Ask.Key)
 	case c != nil && c.machine != "":
 		t.do(Stands{e.Caller, e.Ask.ID, c.id, c.machine})
 	case c != nil && (c.open || c.late != nil):
@@ -358,6 +376,20 @@
 	}
 }
 
+// looked tells what runs under a key, once that is sure.
+func (t *Table) looked(e Looked) {
+	switch c := t.keys[e.Key]; {
+	case c != nil && c.machine != "" && !c.ending:
+		t.do(Stands{e.Caller, e.ID, c.id, c.machine})
+	case c != nil:
+		t.do(Refuse{e.Caller, e.ID, fmt.Sprintf("key %s is being placed, or ended, as %s", e.Key, c.id), holdOff})
+	case t.round.Unsure(e.Key) != "":
+		t.do(Refuse{e.Caller, e.ID, t.round.Unsure(e.Key), holdOff})
+	default:
+		t.do(Absent{e.Caller, e.ID})
+	}
+}
+
 // shut notes that a container's final answer is out.
 func (t *Table) shut(c *container) {
 	if !c.open {
@@ -455,7 +487,7 @@
 		t.callOff(h)
 		return
 	}
-	c := &container{id: h.Ask.ID, key: h.Ask.Key}
+	c := &container{id: h.Ask.ID, key: h.Ask.Key, ending: !h.Running}
 	t.own[c.id] = c
 	if t.keys[c.key] == nil {
 		t.keys[c.key] = c
@@ -484,8 +516,11 @@
 		c := t.own[h.Ask.ID]
 		switch {
 		case c != nil && c.machine == e.Machine && c.life == h.Life && c.bid == h.Bid:
-		case !h.Running:
+		case !h.Running: // it counts until its machine says that it is over
 			t.callOff(h)
+			if h.Life != t.life {
+				t.adopt(h)
+			}
 		case h.Life == t.life:
 			t.lateYes(h)
 		default:
--- a/internal/host/door.go
+++ b/internal/host/door.go
@@ -117,6 +117,8 @@
 		h.submitted(o, f)
 	case *link.Cancel:
 		h.tell(custody.Cancelled{Caller: o.caller, ID: placer.ContainerID(f.Container), Key: f.Key})
+	case *link.Look:
+		h.tell(custody.Looked{Caller: o.caller, ID: placer.ContainerID(f.Container), Key: f.Key})
 	case *link.AskWhy:
 		o.write(h.explain(f))
 	case *link.AskRoutes:
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -228,15 +228,7 @@
 		m.sendWaiting()
 	}
 	h.linked = nil
-	if events := h.events; len(events) > 0 {
-		h.events = nil
-		began := h.loop.Clock()
-		actions := h.decider.Handle(now, events)
-		h.meter.handled(h.loop.Clock()-began, len(events), len(actions))
-		for _, a := range actions {
-			h.carry(a)
-		}
-	}
+	h.decide()
 	if h.state != nil {
 		h.state.turnOver()
 	}
@@ -245,6 +237,21 @@
 	}
 }
 
+// decide hands the placer module what happened.
+func (h *Host) decide() {
+	events := h.events
+	if len(events) == 0 {
+		return
+	}
+	h.events = nil
+	began := h.loop.Clock()
+	actions := h.decider.Handle(placer.Time(h.loop.Now()), events)
+	h.meter.handled(h.loop.Clock()-began, len(events), len(actions))
+	for _, a := range actions {
+		h.carry(a)
+	}
+}
+
 // carry does what the placer module wants done.
 func (h *Host) carry(a placer.Action) {
 	switch a := a.(type) {
@@ -301,6 +308,8 @@
 		}
 	case custody.Cease:
 		h.cease(a)
+	case custody.Absent:
+		h.send(a.Caller, &link.Answer{Container: string(a.ID), Verdict: link.PushedBack, Text: "nothing of it runs"})
 	case custody.Ceased:
 		h.send(a.Caller, &link.Answer{Container: string(a.ID), Verdict: link.GivenUp, Text: "cancelled"})
 	case custody.CallOff:
@@ -553,11 +562,13 @@
 	h.open[held.Ask.ID] = c
 	h.meter.running++
 	h.meter.adopted++
+	if held.Running {
+		h.route(b, true)
+	}
 	h.takeovers++
 	if h.unsent > 0 {
 		h.tookOver[held.Ask.Service] = h.takeovers
 	}
-	h.route(b, true)
 	h.feed(placer.TookOver{Ask: held.Ask, Machine: m.id})
 }
 
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -148,6 +148,9 @@
 		}
 	}
 	h.feed(e)
+	if h.state != nil {
+		h.state.named()
+	}
 	h.tell(custody.Named{Machines: ids, Whole: mode == placer.WholeList})
 	h.list.held.merge(mode, version, entries)
 }
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -36,6 +36,8 @@
 	kept    *Knowledge
 	sent    []recall.Sent
 	ledger  *recall.Ledger
+	later   []recall.Sent  // to starts that no list has told yet; emptied when it does, or after two windows
+	since   placer.Time    // from then on all that was sent to cold machines is known
 	bids    []custody.Held // of earlier lives, without an end
 	changes []store.Change // of this turn
 	durable bool
@@ -158,8 +160,15 @@
 	}
 	b := recall.Believe(now, kept, machines, h.names(), h.site.Terms.ColdWindow)
 	l.Recall(b.Knowledge)
+	s.later, s.since = b.Later, b.Knowledge.SentSince
 	s.ledger.Carry(b, starts)
-	for _, m := range b.Knowledge.Machines { // by this life's clock
+	for _, old := range s.sent { // what counts no more is forgotten, the rest is put by this life's clock
+		s.drop(SentKind, string(old.Machine))
+	}
+	for _, l := range b.Later {
+		s.put(SentKind, string(l.Machine), l)
+	}
+	for _, m := range b.Knowledge.Machines {
 		if len(m.Cold) > 0 {
 			s.put(SentKind, string(m.Machine), recall.Sent{Machine: m.Machine, Start: starts[m.Machine], Times: m.Cold})
 		}
@@ -171,6 +180,29 @@
 	h.loop.After(knowledgeEvery, s.save)
 }
 
+// named gives the module what earlier lives sent to machines of which the list tells now, before it sees any ask.
+func (s *state) named() {
+	h := s.h
+	l, ok := h.decider.(learner)
+	if !ok || len(s.later) == 0 {
+		return
+	}
+	var found []placer.Learned
+	if found, s.later = s.ledger.Named(placer.Time(h.loop.Now()), s.later, s.start); len(found) > 0 {
+		h.decide()
+		l.Recall(placer.Knowledge{SentSince: s.since, Machines: found})
+	}
+}
+
+// start is how a machine stands.
+func (s *state) start(id placer.MachineID) (recall.Machine, bool) {
+	m := s.h.machines[id]
+	if m == nil {
+		return recall.Machine{}, false
+	}
+	return recall.Machine{Start: m.incarnation, Started: m.startedAt}, true
+}
+
 func (s *state) put(kind, key string, value any) {
 	s.changes = append(s.changes, change(kind, key, value))
 }
@@ -228,13 +260,7 @@
 func (s *state) save() {
 	h := s.h
 	h.loop.After(knowledgeEvery, s.save)
-	for _, id := range s.ledger.Drop(placer.Time(h.loop.Now()), func(id placer.MachineID) (recall.Machine, bool) {
-		m := h.machines[id]
-		if m == nil {
-			return recall.Machine{}, false
-		}
-		return recall.Machine{Start: m.incarnation, Started: m.startedAt}, true
-	}) {
+	for _, id := range s.ledger.Drop(placer.Time(h.loop.Now()), s.start) {
 		s.drop(SentKind, string(id))
 	}
 	if s.saving {
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -538,6 +538,8 @@
 			return
 		}
 		h.doors[a.Door].write(&link.Submit{Left: link.Span(a.Left), Work: h.submission(a)})
+	case keeper.Look:
+		h.doors[a.Door].write(&link.Look{Container: a.Ask, Key: a.Key})
 	case keeper.Cancel:
 		if a.Door >= 0 {
 			h.doors[a.Door].write(&link.Cancel{Container: a.Ask, Key: a.Key})
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -166,6 +166,12 @@
 		Left  placer.Time
 		Again bool
 	}
+	// Look asks a placer what runs under a key; nothing is started.
+	Look struct {
+		Door int
+		Ask  string
+		Key  string
+	}
 	// Cancel ends an ask, or what runs under its key by an earlier one.
 	Cancel struct {
 		Door int
@@ -186,6 +192,7 @@
 
 func (Strayed) action() {}
 func (Found) action()   {}
+func (Look) action()    {}
 func (Submit) action()  {}
 func (Cancel) action()  {}
 func (Changed) action() {}
@@ -614,8 +621,8 @@
 	}
 }
 
-// askFor submits a container to a placer by chance. One that may run is asked for where that is known: only the
-// placer that sent it can tell, and asking another could start a second copy.
+// askFor submits a container to a placer by chance. One that may run is looked for where that is known, and nothing is
+// started by that: only the placer that sent it can tell, and a key that ran must not run again.
 func (k *Keeper) askFor(s *slot) {
 	door := s.Door
 	if !s.Pinned {
@@ -633,6 +640,13 @@
 		k.turn(s, Waiting, -1, "no placer can be reached")
 		return
 	}
+	if s.Pinned {
+		k.forgetAsk(s)
+		k.freshAsk(s)
+		k.turn(s, Asking, -1, "looked for")
+		k.do(Look{door, s.Ask, s.Key})
+		return
+	}
 	k.forgetAsk(s)
 	k.freshAsk(s)
 	s.Door, s.revision, s.With = door, s.job.revision, s.job.spec
@@ -687,13 +701,26 @@
 	if e.Text != "" {
 		what += ": " + e.Text
 	}
-	if e.Verdict == PushedBack {
-		s.Pinned = false // its placer has looked, and nothing of it runs
+	if s.Pinned && e.Verdict != TurnedAway { // its placer has looked, and nothing of it runs
+		k.again(s)
+		return
 	}
 	k.wait(s, k.backOff(s, e.HoldOff), what)
 	s.Held = e.Verdict == TurnedAway
 }
 
+// again begins a new container in the place of one of which nothing runs any more, unless that was to run once only
+// and must not run twice: it may have run to its end.
+func (k *Keeper) again(s *slot) {
+	if s.job.spec.Once && k.effect(s) == placer.AtMostOnce {
+		s.Machine, s.Pinned = "", false
+		k.turn(s, Done, -1, "it may have run to its end, which nobody told")
+		return
+	}
+	k.freshKey(s)
+	k.wait(s, placer.Time(k.chance()*float64(soon)), "nothing of it runs")
+}
+
 // guard waits until what may run has surely turned up at its placer, or surely did not start.
 func (k *Keeper) guard(s *slot, why string) {
 	span := settle
--- a/internal/lab/cluster.go
+++ b/internal/lab/cluster.go
@@ -185,9 +185,10 @@
 // Bring brings a day's cluster up, in a folder of its own.
 func Bring(d *Day, dir string, program []string) (c *Cluster, err error) {
 	c = &Cluster{Dir: dir}
+	begun := c
 	defer func() {
 		if err != nil {
-			c.Close()
+			begun.Close()
 		}
 	}()
 	template, err := os.ReadFile(d.Template)
--- a/internal/link/frames.go
+++ b/internal/link/frames.go
@@ -256,6 +256,14 @@
 		Key       string // may be empty
 	}
 
+	// Look asks for what runs under a key, and starts nothing: an Answer to the container named says placed and where,
+	// pushed back where nothing of it runs, or turned away while that is not sure.
+	Look struct {
+		_         struct{} `cbor:",toarray"`
+		Container string
+		Key       string
+	}
+
 	Answer struct {
 		_         struct{} `cbor:",toarray"`
 		Container string
@@ -389,6 +397,7 @@
 	21: func() Frame { return new(Status) }, 22: func() Frame { return new(Bye) },
 	23: func() Frame { return new(AskWhy) }, 24: func() Frame { return new(Why) },
 	25: func() Frame { return new(AskRoutes) }, 26: func() Frame { return new(Routes) },
+	27: func() Frame { return new(Look) },
 }
 
 func (*Hello) sort() byte     { return 1 }
@@ -414,6 +423,7 @@
 func (*Status) sort() byte    { return 21 }
 func (*Bye) sort() byte       { return 22 }
 func (*AskWhy) sort() byte    { return 23 }
+func (*Look) sort() byte      { return 27 }
 func (*Why) sort() byte       { return 24 }
 func (*AskRoutes) sort() byte { return 25 }
 func (*Routes) sort() byte    { return 26 }
@@ -599,6 +609,13 @@
 	return c.fault
 }
 
+func (f *Look) check() error {
+	var c checker
+	c.name("container", f.Container)
+	c.name("key", f.Key)
+	return c.fault
+}
+
 func (f *Answer) check() error {
 	var c checker
 	c.name("container", f.Container)
--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -141,6 +141,7 @@
 // Belief is what is taken over.
 type Belief struct {
 	Knowledge placer.Knowledge
+	Later     []Sent   // to starts of machines that no list has told yet, by this life's clock
 	Said      []string // one line each, with figures
 }
 
@@ -231,10 +232,6 @@
 	counted := 0
 	sort.Slice(k.Sent, func(i, j int) bool { return k.Sent[i].Machine < k.Sent[j].Machine })
 	for _, s := range k.Sent {
-		m, there := machines[s.Machine]
-		if !there || m.Start != s.Start {
-			continue
-		}
 		var times []placer.Time
 		for _, t := range s.Times {
 			if t += since.Jump; t > now.Clock-2*window {
@@ -244,6 +241,11 @@
 		if len(times) == 0 {
 			continue
 		}
+		m, there := machines[s.Machine]
+		if !there || m.Start != s.Start {
+			b.Later = append(b.Later, Sent{s.Machine, s.Start, times})
+			continue
+		}
 		i, known := at[s.Machine]
 		if !known {
 			i = len(b.Knowledge.Machines)
@@ -255,6 +257,23 @@
 	b.say("%d bids to cold machines in the last %d ms are known: they get what is left", counted, 2*window/placer.Millisecond)
 }
 
+// Named takes up what was sent to starts that a list tells of only now: the list of old may be older than they are.
+// What is left waits on; what a window has passed over is dropped.
+func (l *Ledger) Named(now placer.Time, later []Sent, machines func(placer.MachineID) (Machine, bool)) (found []placer.Learned, left []Sent) {
+	for _, s := range later {
+		m, there := machines(s.Machine)
+		switch {
+		case s.Times[len(s.Times)-1] <= now-2*l.window:
+		case !there || m.Start != s.Start:
+			left = append(left, s)
+		default:
+			l.sent[s.Machine] = &Sent{s.Machine, s.Start, append([]placer.Time(nil), s.Times...)}
+			found = append(found, placer.Learned{Machine: s.Machine, Started: m.Started, Cold: s.Times})
+		}
+	}
+	return found, left
+}
+
 // Ledger follows what is sent to cold machines, to be written down. A machine leaves it once it is warm or gone.
 type Ledger struct {
 	coldFor, window placer.Time
--- a/internal/recall/recall_test.go
+++ b/internal/recall/recall_test.go
@@ -141,6 +141,12 @@
 		t.Error("one that started long ago is written down")
 	}
 	at := func(placer.MachineID) (Machine, bool) { return m, true }
+	// A list of old may not know a start yet to which an earlier life sent; without this its budget was had twice.
+	later := []Sent{{"m", 7, []placer.Time{105 * sec}}, {"n", 2, []placer.Time{106 * sec}}, {"o", 7, []placer.Time{99 * sec}}}
+	found, left := l.Named(107*sec, later, at)
+	if len(found) != 1 || found[0].Machine != "m" || len(found[0].Cold) != 1 || len(left) != 1 || left[0].Machine != "n" {
+		t.Errorf("found %v, left %v", found, left)
+	}
 	if got := l.Drop(116*sec, at); len(got) != 0 {
 		t.Error("dropped while cold")
 	}
