--- /dev/null
+++ b/cmd/glenport/state_test.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"glenport/internal/disk"
+	"glenport/internal/store"
+)
+
+// A folder is told, checked, exported and compacted; a damaged one is named with file and place, and exported up to there.
+func TestState(t *testing.T) {
+	dir := t.TempDir()
+	d, err := disk.Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, _, err := store.Open(d, store.Terms{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range []string{"a", "b", "c"} {
+		done := make(chan error, 1)
+		s.Commit([]store.Change{{Kind: "job", Key: key, Value: []byte{0x61, 'x'}}}, true, func(err error) { done <- err })
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	s.Close()
+	d.Close()
+	run := func(what string) (string, error) {
+		c := stateCommand()
+		var out bytes.Buffer
+		c.SetOut(&out)
+		c.SetErr(&out)
+		c.SetArgs([]string{what, dir})
+		c.SilenceUsage, c.SilenceErrors = true, true
+		err := c.Execute()
+		return out.String(), err
+	}
+	for _, tc := range []struct{ what, want string }{
+		{"inspect", "3 records"}, {"verify", "good, 3 records"}, {"export", `{"key":"b","kind":"job","value":"x"}`}, {"compact", "3 records"},
+		{"verify", "good, 3 records, 0 groups"}, {"export", `{"key":"c","kind":"job","value":"x"}`},
+	} {
+		if out, err := run(tc.what); err != nil || !strings.Contains(out, tc.want) {
+			t.Errorf("%s: %q, %v", tc.what, out, err)
+		}
+	}
+	all, _ := filepath.Glob(filepath.Join(dir, "snapshot-*"))
+	p, err := os.ReadFile(all[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	p[len(p)/2] ^= 1
+	os.WriteFile(all[0], p, 0o644)
+	if out, err := run("verify"); err == nil || !strings.Contains(out, filepath.Base(all[0])+", at byte") {
+		t.Errorf("damaged: %q, %v", out, err)
+	}
+	if _, err := run("export"); err == nil {
+		t.Error("a damaged folder is exported as whole")
+	}
+}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -578,3 +578,47 @@
 		})
 	}
 }
+
+// A placer that is given what an earlier life of it knew goes on as that would have: the sick machine rests, and no
+// window of a cold machine's start has more than one life's part, though the lives follow on each other within it.
+func TestRecall(t *testing.T) {
+	tm := terms(Reissuable)
+	tm.Placers, tm.MostBids = 1, 1
+	cold := ListCame{Mode: OldList, Entries: []Entry{{Machine: "a", StartedAt: 10}}}
+	var before *Placer
+	var sent []Time
+	for life := range 20 {
+		p := New(tm)
+		now := Time(life)*Second/2 + 10
+		p.Handle(now, []Event{cold})
+		if before != nil {
+			p.Recall(before.Knows())
+		}
+		for range 40 {
+			if now += 100; ask(p, now, ContainerID(fmt.Sprint(now)), fmt.Sprint("s", now)) == "a" {
+				sent = append(sent, now)
+				p.Handle(now, []Event{Ended{ID: ContainerID(fmt.Sprint(now)), Over: true, Machine: "a", Took: 1}})
+			}
+		}
+		before = p
+	}
+	for i := range sent {
+		if n := i + tm.ColdBids; n < len(sent) && sent[n]-sent[i] < tm.ColdWindow {
+			t.Fatalf("%d bids from %d to %d", tm.ColdBids+1, sent[i], sent[n])
+		}
+	}
+	if len(sent) < 3*tm.ColdBids {
+		t.Errorf("%d bids in 20 lives: the part is left unused", len(sent))
+	}
+
+	sick := New(tm)
+	warm := ListCame{Mode: OldList, Entries: []Entry{{Machine: "a"}, {Machine: "b"}}}
+	sick.Handle(0, []Event{warm})
+	k := sick.Knows()
+	k.Machines[0].Sick, k.Machines[0].RestUntil = 5, 4*Second
+	k.Machines = append(k.Machines, Learned{Machine: "b", Started: 99, Sick: 5, RestUntil: 4 * Second}) // of another start
+	sick.Recall(k)
+	if x := sick.Explain(Ask{Service: "s", Cores: 1, Memory: 1}); x.Resting != 1 || x.Free != 1 {
+		t.Errorf("%+v", x)
+	}
+}
