A door that narrows in a storm, with appointments; trial storm

Change: internal/storm, a pure module in custody: a limit that follows how slow starts are, gain, a budget of repeats, heavy clients in a fixed number of counters, and an appointment for whoever is turned away. A simulated world runs the real modules of many placers on one clock.

--- a/cmd/glenport-lab/main.go
+++ b/cmd/glenport-lab/main.go
@@ -150,11 +150,13 @@
 func placerCommand() *cobra.Command {
 	var file, spoil string
 	var rule int
+	var damped bool
 	c := &cobra.Command{Use: "placer", Hidden: true, Args: cobra.NoArgs, RunE: func(*cobra.Command, []string) error {
 		s, err := site.Load(file)
 		if err != nil {
 			return err
 		}
+		s.Damped = s.Damped || damped
 		var d host.Decider = placer.New(s.Terms)
 		if rule > 0 {
 			if d, err = sabotage.New(rule, s.Terms, d); err != nil {
@@ -176,6 +178,7 @@
 	}}
 	c.Flags().StringVarP(&file, "config", "c", "", "the placer's file")
 	c.Flags().IntVar(&rule, "sabotage", 0, "rule to break")
+	c.Flags().BoolVar(&damped, "damped", false, "narrow the door when starts become slow")
 	c.Flags().StringVar(&spoil, "spoil-routes", "", "late or storm")
 	return c
 }
@@ -217,7 +220,7 @@
 	why.Flags().IntVar(&cycles, "cycles", 50, "of draining and filling, four changes each")
 	why.Flags().IntVar(&steps, "steps", 0, "play the first so many steps only; 0: all")
 	why.Flags().BoolVar(&lie, "sabotage", false, "read another reason than the API tells")
-	trial.AddCommand(why, bgpTrialCommand(), restartTrialCommand())
+	trial.AddCommand(why, bgpTrialCommand(), restartTrialCommand(), stormTrialCommand())
 	return trial
 }
 
@@ -298,3 +301,36 @@
 	}
 	return errNotHeld
 }
+
+func stormTrialCommand() *cobra.Command {
+	var dir string
+	var placers int
+	t := &lab.StormTrial{Ignore: 0.5, Out: os.Stdout}
+	c := &cobra.Command{Use: "storm", Short: "When most of a fleet restarts at once, what follows is not worse than that", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			d, err := lab.LoadDay("days/storm.yaml")
+			if err != nil {
+				return err
+			}
+			d.Placers = placers
+			own, err := os.Executable()
+			if err != nil {
+				return err
+			}
+			return withPlacers(dir, 0, func(program []string, dir string) error {
+				t.Program = func(damped bool) []string {
+					if damped {
+						return []string{own, "placer", "--damped"}
+					}
+					return program
+				}
+				ok, err := t.Run(d, dir)
+				return verdict("storm", ok, err, "a storm outlived its cause, or a rule was broken")
+			})
+		}}
+	c.Flags().StringVar(&dir, "dir", "", "folder to keep the records and the logs in")
+	c.Flags().IntVar(&t.Seeds, "seeds", 10, "of the simulated form")
+	c.Flags().IntVar(&t.Sockets, "sockets", 1, "runs of each damping over sockets")
+	c.Flags().IntVar(&placers, "placers", 3, "over sockets")
+	return c
+}
--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -9,6 +9,7 @@
 	"sort"
 
 	"glenport/internal/recovery"
+	"glenport/internal/storm"
 	"glenport/placer"
 )
 
@@ -203,6 +204,7 @@
 	effects []placer.Effect
 	now     placer.Time
 	round   *recovery.Round // what waits for a machine's word
+	storm   *storm.Door     // what is turned away because more comes than can be served
 	out     []Action
 
 	own     map[placer.ContainerID]*container
@@ -215,15 +217,17 @@
 }
 
 type container struct {
-	id      placer.ContainerID
-	key     string
-	caller  Caller
-	open    bool
-	machine placer.MachineID // where it runs, by which bid of which life
-	life    uint64
-	bid     uint64
-	ending  bool  // it was called off when it was found, and has not ended yet
-	late    *Held // a bid that was over and runs, while the container is still open
+	id       placer.ContainerID
+	key      string
+	caller   Caller
+	open     bool
+	since    placer.Time
+	workload int
+	machine  placer.MachineID // where it runs, by which bid of which life
+	life     uint64
+	bid      uint64
+	ending   bool  // it was called off when it was found, and has not ended yet
+	late     *Held // a bid that was over and runs, while the container is still open
 }
 
 // gap is a broken link to a machine that runs our containers.
@@ -234,9 +238,14 @@
 	pause placer.Time
 }
 
-// New begins a life; log is how much is known of the bids of earlier ones.
-func New(life uint64, b Bounds, effects []placer.Effect, log recovery.Log) *Table {
-	return &Table{life: life, bounds: b, effects: effects, round: recovery.NewRound(log, effects), own: map[placer.ContainerID]*container{},
+// New begins a life; log is how much is known of the bids of earlier ones. With agreed times for the workloads the door
+// narrows when starts become slow.
+func New(life uint64, b Bounds, effects []placer.Effect, log recovery.Log, calm []storm.Workload) *Table {
+	var door *storm.Door
+	if len(calm) > 0 {
+		door = storm.New(storm.Terms{Seed: life, Workloads: calm, Most: b.Open})
+	}
+	return &Table{life: life, bounds: b, effects: effects, round: recovery.NewRound(log, effects), storm: door, own: map[placer.ContainerID]*container{},
 		keys: map[string]*container{}, at: map[placer.MachineID]map[*container]bool{},
 		callers: map[Caller]int{}, broken: map[placer.MachineID]*gap{}}
 }
@@ -259,7 +268,7 @@
 			t.looked(e)
 		case Answered:
 			if c := t.own[e.ID]; c != nil {
-				t.shut(c)
+				t.shut(c, storm.Failed{Workload: c.workload})
 			}
 		case Placed:
 			t.placed(e)
@@ -346,7 +355,10 @@
 	case t.round.Wait(e.Ask) != "":
 		refuse(holdOff, "%s", t.round.Wait(e.Ask))
 	default:
-		c := &container{id: e.Ask.ID, key: e.Ask.Key, caller: e.Caller, open: true}
+		if t.stormy(e) {
+			return
+		}
+		c := &container{id: e.Ask.ID, key: e.Ask.Key, caller: e.Caller, open: true, workload: e.Ask.Workload, since: t.now}
 		t.own[c.id], t.keys[c.key] = c, c
 		t.open++
 		t.callers[e.Caller]++
@@ -376,6 +388,24 @@
 	}
 }
 
+// stormy turns an ask away when more comes than can be served, with the time at which to come back.
+func (t *Table) stormy(e Asked) (turned bool) {
+	if t.storm == nil {
+		return false
+	}
+	client := fmt.Sprint(e.Caller, "/", e.Ask.Customer)
+	for _, a := range t.storm.Handle(t.now, storm.Asked{Client: client, Workload: e.Ask.Workload, Again: e.Ask.Again}) {
+		switch a := a.(type) {
+		case storm.Shed:
+			t.do(Refuse{e.Caller, e.Ask.ID, "storm: " + a.Why.String(), a.HoldOff})
+			turned = true
+		case storm.Mode:
+			t.do(Log{a.Text})
+		}
+	}
+	return turned
+}
+
 // looked tells what runs under a key, once that is sure.
 func (t *Table) looked(e Looked) {
 	switch c := t.keys[e.Key]; {
@@ -391,12 +421,15 @@
 }
 
 // shut notes that a container's final answer is out.
-func (t *Table) shut(c *container) {
+func (t *Table) shut(c *container, how storm.Event) {
 	if !c.open {
 		return
 	}
 	c.open = false
 	t.open--
+	if t.storm != nil {
+		t.storm.Handle(t.now, how)
+	}
 	if n, ok := t.callers[c.caller]; ok {
 		t.callers[c.caller] = n - 1
 	}
@@ -407,7 +440,7 @@
 	if c == nil {
 		return
 	}
-	t.shut(c)
+	t.shut(c, storm.Started{Workload: c.workload, Took: t.now - c.since})
 	t.run(c, e.Machine, t.life, e.Bid)
 	if c.late != nil { // its earlier bid ran after all: one copy is enough
 		t.callOff(*c.late)
@@ -428,7 +461,7 @@
 	if c == nil {
 		return
 	}
-	t.shut(c)
+	t.shut(c, storm.Failed{Workload: c.workload})
 	delete(t.own, id)
 	if t.keys[c.key] == c {
 		delete(t.keys, c.key)
--- a/internal/custody/custody_test.go
+++ b/internal/custody/custody_test.go
@@ -157,7 +157,7 @@
 			NoLink{"m"}, 1000 * ms, Woke{}, NoLink{"m"}, Ended{"a"}, 3100 * ms, Woke{}}, "reach m"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			table, now, got := New(5, Bounds{Callers: 2, Open: 3, OpenPerCaller: 2}, effects, recovery.NoLog), placer.Time(0), ""
+			table, now, got := New(5, Bounds{Callers: 2, Open: 3, OpenPerCaller: 2}, effects, recovery.NoLog, nil), placer.Time(0), ""
 			table.Handle(now, []Event{Called{1}})
 			for _, s := range tc.steps {
 				switch s := s.(type) {
@@ -178,7 +178,7 @@
 // while it neither runs nor is open; tables empty when all has ended; equal histories give equal actions.
 func TestDrawnHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		a, b := New(5, Bounds{9, 9, 9}, effects, recovery.NoLog), New(5, Bounds{9, 9, 9}, effects, recovery.NoLog)
+		a, b := New(5, Bounds{9, 9, 9}, effects, recovery.NoLog, nil), New(5, Bounds{9, 9, 9}, effects, recovery.NoLog, nil)
 		now, open, runs, bid := placer.Time(0), map[placer.ContainerID]string{}, map[placer.ContainerID]string{}, uint64(0)
 		a.Handle(0, []Event{Called{1}})
 		b.Handle(0, []Event{Called{1}})
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -15,6 +15,7 @@
 	"glenport/internal/recovery"
 	"glenport/internal/site"
 	"glenport/internal/speaker"
+	"glenport/internal/storm"
 	"glenport/placer"
 )
 
@@ -100,8 +101,12 @@
 		tookOver: map[string]int{}}
 	h.lastBid = h.life // bid numbers are unique over all lives
 	var effects []placer.Effect
+	var calm []storm.Workload
 	for _, w := range s.Terms.Workloads {
 		effects = append(effects, w.Effect)
+		if s.Damped {
+			calm = append(calm, storm.Workload{Agreed: w.Agreed, Gain: w.Gain})
+		}
 	}
 	h.meter.init()
 	var err error
@@ -117,7 +122,7 @@
 		}
 		known = h.state.life.Log
 	}
-	h.custody = custody.New(h.life, s.Bounds, effects, known)
+	h.custody = custody.New(h.life, s.Bounds, effects, known, calm)
 	if s.BGP != nil {
 		h.routes = speaker.New(h.loop, *s.BGP, log)
 	}
--- /dev/null
+++ b/internal/lab/sim.go
@@ -0,0 +1,488 @@
+package lab
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"glenport/internal/storm"
+	"glenport/placer"
+)
+
+// World is a cluster on a simulated clock: the real decisions of many placers, and their doors, with a plain model of
+// machines, links and clients. One seed gives one outcome.
+type World struct {
+	Seed     uint64
+	Placers  int
+	Machines int
+	Rate     float64 // first tries a second, of all clients
+	Length   placer.Time
+	Damping  Damping
+	Ignore   float64 // part of the clients that ignore all advice
+	// Restart: so many machines go down together at a time and are back, cold, after a span.
+	Restart   int
+	RestartAt placer.Time
+	DownFor   placer.Time
+
+	now     placer.Time
+	seq     uint64
+	events  simEvents
+	rng     *rand.Rand
+	terms   placer.Terms
+	placers []*simPlacer
+	fleet   []*simMachine
+	byID    map[placer.MachineID]*simMachine
+	nextID  int
+
+	Seconds []SimSecond
+	Most    int // starts at a time that a machine was given beyond what it can start
+	Acts    int
+}
+
+// Damping is what stands at the doors and in the clients.
+type Damping uint8
+
+const (
+	NoDamping   Damping = iota // clients ask again at once
+	Exponential                // clients back off, twice as long each time, by chance
+	Damped                     // the storm module's doors, and clients that keep their appointments
+)
+
+func (d Damping) String() string { return [...]string{"none", "exponential", "glenport"}[d] }
+
+// SimSecond is what came of the first tries of one second, at whichever coming.
+type SimSecond struct {
+	Asked, Again, InTime, Late, Shed, PushedBack, GivenUp, Abandoned int
+	Placed                                                           int // in this second and in the agreed time, whenever they were wanted
+}
+
+type simEvent struct {
+	at  placer.Time
+	seq uint64
+	do  func()
+}
+type simEvents []simEvent
+
+func (h simEvents) Len() int { return len(h) }
+func (h simEvents) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].seq < h[j].seq
+}
+func (h simEvents) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *simEvents) Push(x any)   { *h = append(*h, x.(simEvent)) }
+func (h *simEvents) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+func (w *World) after(span placer.Time, do func()) {
+	w.seq++
+	heap.Push(&w.events, simEvent{w.now + max(0, span), w.seq, do})
+}
+
+const (
+	simWay      = 5 // tenths of a millisecond on the way
+	simStart    = 30 * placer.Millisecond
+	simSlots    = 4
+	simQueue    = 60
+	simFirst    = 4.0 // times as long where the program is not there
+	simColdPace = 0.25
+	simLife     = 2 * placer.Second
+	simKept     = 12
+	simTries    = 12 // of one container, with all its comings
+)
+
+// simContainer is one that a client wants.
+type simContainer struct {
+	n      int
+	work   int
+	client string
+	ignore bool
+	born   placer.Time // its first try
+	tries  int
+}
+
+type simBid struct {
+	p       *simPlacer
+	id      placer.ContainerID
+	m       *simMachine
+	until   placer.Time
+	service string
+	cores   float64
+	over    bool // for its placer
+	started bool
+	placed  bool
+}
+
+type simPlacer struct {
+	w      *World
+	module *placer.Placer
+	door   *storm.Door
+	open   map[placer.ContainerID]*simOpen
+}
+
+type simOpen struct {
+	c        *simContainer
+	asked    placer.Time
+	bid      *simBid
+	bids     int
+	answered bool
+	due      placer.Time
+}
+
+type simMachine struct {
+	w        *World
+	id       placer.MachineID
+	up       bool
+	life     int
+	started  placer.Time // 0: long ago
+	busy     int
+	queue    []*simBid
+	cores    float64
+	programs []string
+}
+
+// simTerms are a small site's.
+func simTerms(w *World) placer.Terms {
+	return placer.Terms{Placers: w.Placers, AcceptCores: 2, AcceptMemory: 1.5, MeanCores: 1, MeanMemory: 2, YesRuns: true,
+		ListedAsks: false, MayProbe: true, MostBids: 4, AnswerGrace: 50 * placer.Millisecond, AskWithin: 10 * placer.Second,
+		ColdFor: 10 * placer.Second, ColdWindow: placer.Second, ColdBids: 0,
+		Kinds: []placer.Kind{{Cores: 48, Memory: 120}},
+		Workloads: []placer.Workload{
+			{Effect: placer.Reissuable, Agreed: 300 * placer.Millisecond, HardStop: 4 * placer.Second, Kind: -1, Gain: 1},
+			{Effect: placer.Numbered, Repeats: placer.OneZone, Window: 4 * placer.Second, Agreed: 300 * placer.Millisecond,
+				HardStop: 4 * placer.Second, Kind: -1, Gain: 2},
+			{Effect: placer.AtMostOnce, Agreed: 500 * placer.Millisecond, HardStop: 4 * placer.Second, Kind: -1, Gain: 4}}}
+}
+
+// Run plays the world to its end.
+func (w *World) Run() {
+	w.rng = rand.New(rand.NewPCG(w.Seed, 41))
+	w.terms = simTerms(w)
+	w.terms.ColdBids = 60 // in a window, from all placers
+	w.byID = map[placer.MachineID]*simMachine{}
+	w.Seconds = make([]SimSecond, int(w.Length/placer.Second)+1)
+	for i := range w.Machines {
+		m := &simMachine{w: w, id: placer.MachineID(fmt.Sprintf("m%05d", i)), up: true, life: 1}
+		w.fleet, w.byID[m.id] = append(w.fleet, m), m
+	}
+	for i := range w.Placers {
+		t := w.terms
+		t.Me, t.Seed = i, w.Seed*1000+uint64(i)
+		p := &simPlacer{w: w, module: placer.New(t), open: map[placer.ContainerID]*simOpen{}}
+		if w.Damping == Damped {
+			s := storm.Terms{Seed: w.Seed*1000 + uint64(i), Most: 1_000_000}
+			for _, x := range t.Workloads {
+				s.Workloads = append(s.Workloads, storm.Workload{Agreed: x.Agreed, Gain: x.Gain})
+			}
+			p.door = storm.New(s)
+		}
+		w.placers = append(w.placers, p)
+		p.feed(placer.ListCame{Mode: placer.WholeList, Entries: w.list(nil)})
+	}
+	w.after(0, w.nextClient)
+	if w.Restart > 0 {
+		w.after(w.RestartAt, func() { w.restart() })
+	}
+	for len(w.events) > 0 && w.events[0].at <= w.Length {
+		e := heap.Pop(&w.events).(simEvent)
+		w.now = e.at
+		e.do()
+	}
+}
+
+func (w *World) list(only map[placer.MachineID]bool) []placer.Entry {
+	var all []placer.Entry
+	for i, m := range w.fleet {
+		if only != nil && !only[m.id] {
+			continue
+		}
+		s := placer.Serving
+		if !m.up {
+			s = placer.Gone
+		}
+		all = append(all, placer.Entry{Machine: m.id, Zone: i % 3, Cell: i / 4, State: s, StartedAt: m.started})
+	}
+	return all
+}
+
+// restart takes machines down together; the list tells it a second later, and of their return likewise.
+func (w *World) restart() {
+	which := map[placer.MachineID]bool{}
+	for i := range min(w.Restart, len(w.fleet)) {
+		m := w.fleet[i]
+		which[m.id] = true
+		m.down()
+	}
+	tell := func() {
+		for _, p := range w.placers {
+			p.feed(placer.ListCame{Mode: placer.Changes, Entries: w.list(which)})
+		}
+	}
+	w.after(placer.Second, tell)
+	w.after(w.DownFor, func() {
+		for i := range min(w.Restart, len(w.fleet)) {
+			m := w.fleet[i]
+			m.up, m.started = true, w.now
+			m.life++
+		}
+		w.after(placer.Second/4, tell)
+	})
+}
+
+// nextClient begins the next container; arrivals are Poisson, half of the clients are twenty, the rest are many.
+func (w *World) nextClient() {
+	w.nextID++
+	c := &simContainer{n: w.nextID, born: w.now}
+	switch r := w.rng.Float64(); {
+	case r < 0.5:
+	case r < 0.85:
+		c.work = 1
+	default:
+		c.work = 2
+	}
+	c.client = fmt.Sprint("c", w.rng.IntN(200))
+	c.ignore = w.rng.Float64() < w.Ignore
+	w.second(c).Asked++
+	w.ask(c)
+	w.after(placer.Time(w.rng.ExpFloat64()/w.Rate*float64(placer.Second)), w.nextClient)
+}
+
+func (w *World) second(c *simContainer) *SimSecond { return &w.Seconds[int(c.born/placer.Second)] }
+
+func (w *World) ask(c *simContainer) {
+	c.tries++
+	if c.tries > 1 {
+		w.Seconds[int(w.now/placer.Second)].Again++
+	}
+	p := w.placers[w.rng.IntN(len(w.placers))]
+	if p.door != nil {
+		for _, a := range p.door.Handle(w.now, storm.Asked{Client: c.client, Workload: c.work, Again: c.tries > 1}) {
+			if s, ok := a.(storm.Shed); ok {
+				w.second(c).Shed++
+				w.back(c, s.HoldOff)
+				return
+			}
+		}
+	}
+	id := placer.ContainerID(fmt.Sprintf("%d#%d", c.n, c.tries))
+	due := w.now + w.terms.Workloads[c.work].HardStop
+	p.open[id] = &simOpen{c: c, asked: w.now, due: due}
+	p.feed(placer.Asked{Ask: placer.Ask{ID: id, Key: fmt.Sprint(c.n), Service: fmt.Sprint("s", c.work, "-", c.n%60), Workload: c.work,
+		Cores: 0.5, Memory: 1, Due: due, Again: c.tries > 1}})
+}
+
+// back is what a client does that was turned away: it keeps its appointment where it was given one and obeys.
+func (w *World) back(c *simContainer, hold placer.Time) {
+	if c.tries >= simTries || c.work == 2 && c.tries >= simTries/2 {
+		w.second(c).Abandoned++
+		return
+	}
+	wait := 50*placer.Millisecond + placer.Time(w.rng.Float64()*float64(100*placer.Millisecond))
+	switch {
+	case c.ignore:
+	case w.Damping == Exponential || w.Damping == Damped && hold == 0:
+		span := float64(200*placer.Millisecond) * math.Exp2(float64(min(c.tries, 7)))
+		wait = placer.Time(span/2 + w.rng.Float64()*span/2)
+	case w.Damping == Damped:
+		wait = hold
+	}
+	w.after(wait, func() { w.ask(c) })
+}
+
+func (p *simPlacer) feed(e placer.Event) {
+	w := p.w
+	for _, a := range p.module.Handle(w.now, []placer.Event{e}) {
+		w.Acts++
+		switch a := a.(type) {
+		case placer.Bid:
+			p.bid(a)
+		case placer.PushBack:
+			p.answer(a.ID, func(o *simOpen) {
+				w.second(o.c).PushedBack++
+				w.back(o.c, 0)
+			})
+		case placer.GiveUp:
+			p.answer(a.ID, func(o *simOpen) {
+				w.second(o.c).GivenUp++
+				if w.terms.Workloads[o.c.work].Effect != placer.AtMostOnce {
+					w.back(o.c, 0)
+				}
+			})
+		case placer.Wake:
+			w.after(a.After, func() { p.feed(placer.Woke{Name: a.Name}) })
+		case placer.Probe:
+			m := w.byID[a.Machine]
+			w.after(2*simWay, func() {
+				o := placer.NoConnect
+				if m.up {
+					o = placer.Finished
+				}
+				p.feed(placer.Probed{Machine: m.id, Outcome: o})
+			})
+		}
+	}
+}
+
+// answer gives a client its one answer other than placed.
+func (p *simPlacer) answer(id placer.ContainerID, f func(*simOpen)) {
+	o := p.open[id]
+	if o == nil || o.answered {
+		return
+	}
+	o.answered = true
+	if p.door != nil {
+		p.door.Handle(p.w.now, storm.Failed{Workload: o.c.work})
+	}
+	if o.bid == nil {
+		delete(p.open, id)
+	}
+	f(o)
+}
+
+func (p *simPlacer) bid(a placer.Bid) {
+	w, o := p.w, p.open[a.ID]
+	m := w.byID[a.Machine]
+	until := o.due
+	if a.MaxWait > 0 {
+		until = min(until, w.now+a.MaxWait)
+	}
+	b := &simBid{p: p, id: a.ID, m: m, until: until, service: fmt.Sprint(o.c.work, o.c.n%60), cores: 0.5}
+	o.bid = b
+	o.bids++
+	w.after(until-w.now, func() {
+		if !b.placed {
+			b.end(placer.TimedOut, placer.NoReason)
+		}
+	})
+	w.after(simWay, func() { m.offered(b) })
+}
+
+// end is a bid's one outcome at its placer.
+func (b *simBid) end(o placer.Outcome, r placer.Reason) {
+	if b.over {
+		return
+	}
+	b.over = true
+	x := b.p.open[b.id]
+	if x == nil || x.bid != b {
+		return
+	}
+	x.bid = nil
+	over := x.answered
+	if over {
+		delete(b.p.open, b.id)
+	}
+	b.p.feed(placer.Ended{ID: b.id, Bid: x.bids - 1, Outcome: o, Machine: b.m.id, Reason: r, Over: over})
+}
+
+func (m *simMachine) down() {
+	m.up = false
+	m.busy, m.cores, m.programs = 0, 0, nil
+	m.life++
+	queue := m.queue
+	m.queue = nil
+	for _, b := range queue {
+		m.w.after(simWay, func() { b.end(placer.Reset, placer.NoReason) })
+	}
+}
+
+func (m *simMachine) offered(b *simBid) {
+	w := m.w
+	refuse := func(o placer.Outcome, r placer.Reason) { w.after(simWay, func() { b.end(o, r) }) }
+	switch {
+	case !m.up:
+		refuse(placer.NoConnect, placer.NoReason)
+	case m.cores+b.cores > 96:
+		refuse(placer.Full, placer.NoCores)
+	case len(m.queue) >= simQueue:
+		refuse(placer.Full, placer.LongQueue)
+	default:
+		m.cores += b.cores
+		m.queue = append(m.queue, b)
+		w.Most = max(w.Most, len(m.queue)-simQueue)
+		m.next()
+	}
+}
+
+// next starts what waits, as far as there is room; what has lapsed is dropped, and what was begun is done to its end
+// though nobody waits for it any more.
+func (m *simMachine) next() {
+	w := m.w
+	for m.busy < simSlots && len(m.queue) > 0 {
+		b := m.queue[0]
+		m.queue = m.queue[1:]
+		if w.now >= b.until {
+			m.cores -= b.cores
+			continue
+		}
+		m.busy++
+		b.started = true
+		took := float64(simStart)
+		if !m.has(b.service) {
+			took *= simFirst
+		}
+		if cold := w.now - m.started; m.started > 0 && cold < w.terms.ColdFor {
+			took /= simColdPace + (1-simColdPace)*float64(cold)/float64(w.terms.ColdFor)
+		}
+		life := m.life
+		w.after(placer.Time(took), func() {
+			if m.life != life {
+				w.after(simWay, func() { b.end(placer.Reset, placer.NoReason) })
+				return
+			}
+			m.busy--
+			w.after(simWay, func() { b.yes(life) })
+			m.next()
+		})
+	}
+}
+
+func (m *simMachine) has(service string) bool {
+	for i, s := range m.programs {
+		if s == service {
+			copy(m.programs[1:i+1], m.programs[:i])
+			m.programs[0] = s
+			return true
+		}
+	}
+	m.programs = append([]string{service}, m.programs[:min(len(m.programs), simKept-1)]...)
+	return false
+}
+
+// yes reaches the placer; too late it stops what started.
+func (b *simBid) yes(life int) {
+	w, m := b.p.w, b.m
+	free := func(after placer.Time, then func()) {
+		w.after(after, func() {
+			if m.life == life {
+				m.cores -= b.cores
+				m.next()
+			}
+			then()
+		})
+	}
+	o := b.p.open[b.id]
+	if b.over || o == nil || o.bid != b || o.answered {
+		free(simWay, func() { b.end(placer.Stopped, placer.NoReason) })
+		return
+	}
+	b.placed, o.answered = true, true
+	took := w.now - o.asked
+	b.p.feed(placer.Placed{ID: b.id, Bid: o.bids - 1, Machine: m.id, Took: took})
+	if b.p.door != nil {
+		b.p.door.Handle(w.now, storm.Started{Workload: o.c.work, Took: took})
+	}
+	if took <= w.terms.Workloads[o.c.work].Agreed {
+		w.second(o.c).InTime++
+		w.Seconds[int(w.now/placer.Second)].Placed++
+	} else {
+		w.second(o.c).Late++
+	}
+	free(simLife, func() { b.end(placer.Finished, placer.NoReason) })
+}
+
+// Goodput is what was placed within its agreed time in a second, as a part of what was newly wanted in it.
+func (s SimSecond) Goodput() float64 { return float64(s.Placed) / float64(max(1, s.Asked)) }
--- /dev/null
+++ b/internal/lab/sim_test.go
@@ -0,0 +1,33 @@
+package lab
+
+import (
+	"fmt"
+	"testing"
+
+	"glenport/placer"
+)
+
+func simulatedOnce(d Damping) (*World, recoveryOf) {
+	w := &World{Seed: 1, Placers: 2, Machines: 12, Rate: 600, Length: 40 * placer.Second, Damping: d, Restart: 10, RestartAt: 8 * placer.Second,
+		DownFor: 2 * placer.Second}
+	w.Run()
+	var good []float64
+	for _, s := range w.Seconds[:40] {
+		good = append(good, float64(s.Placed))
+	}
+	return w, judge(good, 8)
+}
+
+// Behind doors that narrow a small fleet comes back after a restart; without them what follows outlives its cause. The
+// same seed gives the same world.
+func TestStorm(t *testing.T) {
+	w, damped := simulatedOnce(Damped)
+	_, none := simulatedOnce(NoDamping)
+	again, _ := simulatedOnce(Damped)
+	if fmt.Sprint(w.Seconds) != fmt.Sprint(again.Seconds) {
+		t.Error("one seed, two outcomes")
+	}
+	if damped.back < 0 || damped.lost >= none.lost {
+		t.Errorf("damped: %s; not: %s", damped, none)
+	}
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -31,6 +31,7 @@
 	Kinds     []string // their names, in the order of the terms
 	Workloads []string
 	Customers []string
+	Damped    bool        // the door narrows when starts become slow
 	BGP       *Announcing // nil where no address is announced
 }
 
@@ -71,6 +72,7 @@
 	Owners       settings.Count `yaml:"owners"`
 	Open         settings.Count `yaml:"open_containers"`
 	OpenPerOwner settings.Count `yaml:"open_containers_of_one_owner"`
+	Narrow       settings.Flag  `yaml:"narrow_when_slow" settings:"may"`
 }
 
 type machines struct {
@@ -216,7 +218,7 @@
 	p := &Placer{Name: f.Name.Text, Door: c.address(f.Door), ListAddr: c.address(f.List.Address), State: f.State.Text, Keep: f.Keep.Text,
 		Bounds: custody.Bounds{Callers: c.some(f.Bounds.Owners), Open: c.some(f.Bounds.Open),
 			OpenPerCaller: c.some(f.Bounds.OpenPerOwner)},
-		Output:  int(f.Links.Output.GiB * (1 << 30)),
+		Damped: f.Bounds.Narrow.Value, Output: int(f.Links.Output.GiB * (1 << 30)),
 		Connect: loop.Tick(c.lasting(f.Links.Connect)), Idle: loop.Tick(c.lasting(f.Links.Idle)),
 		Silent: loop.Tick(c.lasting(f.Links.Silent)),
 		Terms: placer.Terms{Seed: uint64(f.Seed.Value), Me: f.Number.Value, Placers: f.Placers.Value,
--- a/internal/standin/owners.go
+++ b/internal/standin/owners.go
@@ -48,6 +48,8 @@
 	Doors     []string // of placers
 	Works     []Work
 	Customers int
+	Back      func(tries int, holdOff time.Duration) time.Duration // until it is asked again; nil: a second, or the hold-off
+	OnPlaced  func(kind int, took time.Duration)                   // of each yes; may be nil
 
 	mu      sync.Mutex
 	rate    float64
@@ -250,10 +252,13 @@
 
 // later submits again, over a span of chance that doubles with each try.
 func (o *Owners) later(w *wanted, base time.Duration) {
-	if w.tries >= 6 {
+	if w.tries >= 6 && o.Back == nil || w.tries >= 12 {
 		return
 	}
-	wait := base + time.Duration(o.rng.Float64()*float64(base)*float64(int(1)<<min(w.tries, 5)))
+	wait := base
+	if o.Back == nil {
+		wait += time.Duration(o.rng.Float64() * float64(base) * float64(int(1)<<min(w.tries, 5)))
+	}
 	again := &wanted{work: w.work, kind: w.kind, left: w.left, tries: w.tries + 1}
 	again.work.Again = true
 	o.working.Go(func() {
@@ -357,6 +362,9 @@
 			if took > time.Second {
 				o.tally.Late++
 			}
+			if o.OnPlaced != nil {
+				o.OnPlaced(w.kind, took)
+			}
 			return
 		case link.PushedBack:
 			o.tally.PushedBack++
@@ -367,7 +375,12 @@
 		}
 		delete(o.open, f.Container)
 		if f.Verdict != link.GivenUp && o.Works[w.kind].Again {
-			o.later(w, max(time.Second, time.Duration(f.HoldOff)*100*time.Microsecond))
+			hold := time.Duration(f.HoldOff) * 100 * time.Microsecond
+			if o.Back != nil {
+				o.later(w, o.Back(w.tries, hold))
+			} else {
+				o.later(w, max(time.Second, hold))
+			}
 		}
 	case *link.Fate:
 		w := o.open[f.Container]
--- /dev/null
+++ b/internal/storm/storm_test.go
@@ -0,0 +1,222 @@
+package storm
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+
+	"glenport/placer"
+
+	"pgregory.net/rapid"
+)
+
+const (
+	ms  = placer.Millisecond
+	sec = placer.Second
+)
+
+func terms() Terms {
+	return Terms{Seed: 1, Most: 100_000, Workloads: []Workload{{300 * ms, 1}, {300 * ms, 2}, {500 * ms, 4}}}
+}
+
+func take(t testing.TB, d *Door, now placer.Time, e Asked) (bool, Shed) {
+	for _, a := range d.Handle(now, e) {
+		switch a := a.(type) {
+		case Take:
+			return true, Shed{}
+		case Shed:
+			return false, a
+		}
+	}
+	t.Fatal("no answer")
+	return false, Shed{}
+}
+
+// narrowed is a door behind which starts have become slow: each asks is open for two seconds.
+func narrowed(t testing.TB) (*Door, placer.Time) {
+	d, now := New(terms()), placer.Time(0)
+	for range 200 { // calm
+		now += 10 * ms
+		take(t, d, now, Asked{Client: "a"})
+		d.Handle(now, Started{0, 60 * ms})
+	}
+	for i := range 3000 {
+		now += 2 * ms
+		take(t, d, now, Asked{Client: fmt.Sprint(i % 50)})
+		if i%4 == 0 {
+			d.Handle(now, Started{0, 2 * sec})
+		}
+	}
+	return d, now
+}
+
+func TestDoor(t *testing.T) {
+	t.Run("calm takes all", func(t *testing.T) {
+		d, now := New(terms()), placer.Time(0)
+		for i := range 20_000 {
+			now += ms
+			if ok, s := take(t, d, now, Asked{Client: fmt.Sprint(i % 7), Workload: i % 3, Again: i%2 == 0}); !ok {
+				t.Fatalf("turned away: %+v", s)
+			}
+			d.Handle(now, Started{i % 3, 60 * ms})
+		}
+	})
+	t.Run("slow starts narrow it", func(t *testing.T) {
+		d, now := narrowed(t)
+		ok, s := take(t, d, now, Asked{Client: "a"})
+		if ok || s.Why != TooSlow || d.Limit() > 500 {
+			t.Errorf("%v %+v, limit %.0f, open %d", ok, s, d.Limit(), d.Open())
+		}
+	})
+	t.Run("and gain passes longer", func(t *testing.T) {
+		d, now := narrowed(t)
+		for range 2000 {
+			if low, _ := take(t, d, now, Asked{Client: "a"}); low {
+				continue
+			}
+			high, _ := take(t, d, now, Asked{Client: "a", Workload: 2})
+			if !high && float64(d.Open()) < d.Limit() {
+				t.Errorf("high gain is turned away with %d open of %.0f", d.Open(), d.Limit())
+			}
+			if high {
+				return
+			}
+			d.Handle(now, Failed{0})
+		}
+		t.Error("high gain never passed where low did not")
+	})
+	t.Run("fast starts widen it again", func(t *testing.T) {
+		d, now := narrowed(t)
+		for range 4000 {
+			now += 5 * ms
+			take(t, d, now, Asked{Client: "a"})
+			d.Handle(now, Started{0, 40 * ms})
+		}
+		if ok, s := take(t, d, now, Asked{Client: "a"}); !ok {
+			t.Errorf("still turned away: %+v, limit %.0f, open %d", s, d.Limit(), d.Open())
+		}
+	})
+	// Those who obey come back one after another at the pace of the work, not together.
+	t.Run("appointments are a line", func(t *testing.T) {
+		d, now := narrowed(t)
+		var all []float64
+		for range 300 {
+			if ok, s := take(t, d, now, Asked{Client: "a"}); !ok {
+				all = append(all, float64(s.HoldOff)/float64(sec))
+				if s.HoldOff < leastHold || s.HoldOff > mostHold+mostHold/2 {
+					t.Fatalf("hold off %d", s.HoldOff)
+				}
+			}
+		}
+		most := 0
+		for i := range all {
+			n := 0
+			for _, x := range all {
+				if x >= all[i] && x < all[i]+0.5 {
+					n++
+				}
+			}
+			most = max(most, n)
+		}
+		if most > len(all)/3 {
+			t.Errorf("%d of %d return in one half second", most, len(all))
+		}
+	})
+}
+
+// Without a budget repeats crowd out first tries.
+func TestRepeatsHaveABudget(t *testing.T) {
+	d, now := narrowed(t)
+	for ok := true; ok; { // until it is full
+		ok, _ = take(t, d, now, Asked{Client: "a"})
+	}
+	took := 0
+	for i := range 1000 {
+		d.Handle(now, Failed{0}) // room for one
+		if ok, _ := take(t, d, now, Asked{Client: fmt.Sprint(took), Again: true}); ok {
+			took++
+		} else if ok, s := take(t, d, now, Asked{Client: fmt.Sprint("f", i%50)}); !ok {
+			t.Fatalf("a first try is turned away where a repeat's room was: %+v", s)
+		}
+	}
+	if most := againMost + 1000*againShare; float64(took) > most {
+		t.Errorf("%d repeats were let in, beside 1000 first tries; open %d, limit %.0f, tokens %.1f", took, d.Open(), d.Limit(), d.tokens)
+	}
+}
+
+// One client that sends a hundred times its usual is found whatever the others do, in a fixed room.
+func TestHeavies(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 2))
+	h, exact, now := NewHeavies(256), map[string]int{}, placer.Time(0)
+	worst := 0.0
+	for range 200_000 {
+		c := fmt.Sprint("c", r.IntN(100_000))
+		if r.IntN(10) == 0 {
+			c = "heavy"
+		}
+		exact[c]++
+		if x := h.Count(now, c); c == "heavy" {
+			worst = x
+		}
+	}
+	if h.Len() != 256 || worst < heavyTimes {
+		t.Errorf("%d counters, the heavy one is %.1f times the others", h.Len(), worst)
+	}
+	if now += 100 * fades; h.Count(now, "heavy") > heavyTimes {
+		t.Error("old counts do not fade")
+	}
+}
+
+// A hundred thousand clients cost as much as ten: compared with a plain table.
+func BenchmarkClients(b *testing.B) {
+	names := make([]string, 100_000)
+	for i := range names {
+		names[i] = fmt.Sprint("client-", i)
+	}
+	b.Run("space-saving, 256 counters", func(b *testing.B) {
+		b.ReportAllocs()
+		h := NewHeavies(256)
+		for i := range b.N {
+			h.Count(placer.Time(i), names[i*7919%len(names)])
+		}
+	})
+	b.Run("a map of all", func(b *testing.B) {
+		b.ReportAllocs()
+		m := map[string]float64{}
+		for i := range b.N {
+			m[names[i*7919%len(names)]] += math.Exp(float64(i) / 1e9)
+		}
+	})
+}
+
+// Each ask gets one answer, equal histories equal ones, and what is open never outgrows the limit that there was.
+func TestDrawn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, now, open := New(terms()), New(terms()), placer.Time(0), 0
+		for range 200 {
+			now += placer.Time(rapid.IntRange(0, 2000).Draw(t, "on"))
+			var e Event = Asked{Client: fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "client")), Workload: rapid.IntRange(0, 2).Draw(t, "workload"),
+				Again: rapid.Bool().Draw(t, "again")}
+			if open > 0 && rapid.Bool().Draw(t, "ends") {
+				e = Started{rapid.IntRange(0, 2).Draw(t, "workload"), placer.Time(rapid.IntRange(1, 60_000).Draw(t, "took"))}
+				open--
+			}
+			limit := a.Limit()
+			got, other := fmt.Sprint(a.Handle(now, e)), fmt.Sprint(b.Handle(now, e))
+			if got != other {
+				t.Fatalf("%s and %s", got, other)
+			}
+			if _, is := e.(Asked); is {
+				if a.Open() > open {
+					open++
+					if float64(open) > limit+1 {
+						t.Fatalf("%d open, the limit was %.0f", open, limit)
+					}
+				} else if len(got) < 3 {
+					t.Fatalf("no answer: %s", got)
+				}
+			}
+		}
+	})
+}
