The settings' test follows the sample's new line

Cause: the sample gained a line before a fault that a test names by its line. Change: that line's number.

--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -38,7 +38,7 @@
 		{"key twice", "seed: 17", "seed: 17\nseed: 18", "placer.yaml:6:1: "},
 		{"span without unit", "ask_within: 10s", "ask_within: 10", `placer.yaml:11:15: "10" has no unit; write one of ms`},
 		{"span in another unit", "cold_for: 17s", "cold_for: 17GiB", `"17GiB" has the unit "GiB", which is none of ms`},
-		{"memory without unit", "memory: 120GiB", "memory: 120", `placer.yaml:24:40: "120" has no unit; write one of KiB`},
+		{"memory without unit", "memory: 120GiB", "memory: 120", `placer.yaml:25:40: "120" has no unit; write one of KiB`},
 		{"no number", "cores: 48", "cores: many", `"many" is no number`},
 		{"no whole number", "most: 4", "most: 4.5", `"4.5" is no whole number`},
 		{"missing", "  address: 127.0.0.1:7300\n", "", "placer.yaml:10:3: list.address is missing"},
