--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -634,3 +634,6 @@
 
 // Doubts is the number of keys that wait for a machine's word.
 func (t *Table) Doubts() int { return t.round.Doubts() }
+
+// Door is what is turned away because more comes than can be served; nil where nothing is.
+func (t *Table) Door() *storm.Door { return t.storm }
--- a/internal/host/knowledge.go
+++ b/internal/host/knowledge.go
@@ -13,6 +13,7 @@
 	"glenport/internal/loop"
 	"glenport/internal/recall"
 	"glenport/internal/store"
+	"glenport/internal/storm"
 	"glenport/placer"
 
 	"github.com/fxamacker/cbor/v2"
@@ -37,6 +38,7 @@
 	ListIs    int64 // version of the list
 	Entries   []link.Entry
 	AtAnOrder bool // written at an orderly end
+	Door      *storm.Known
 }
 
 // learner is a decider whose knowledge can be kept.
@@ -130,6 +132,10 @@
 		k.Entries = append(k.Entries, e)
 	}
 	sort.Slice(k.Entries, func(i, j int) bool { return k.Entries[i].Machine < k.Entries[j].Machine })
+	if d := h.custody.Door(); d != nil {
+		known := d.Knows()
+		k.Door = &known
+	}
 	if l, ok := h.decider.(learner); ok {
 		k.Learned = l.Knows()
 		for _, m := range k.Learned.Machines {
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 
 	"glenport/internal/custody"
@@ -144,6 +145,9 @@
 	if k := s.kept; k != nil {
 		kept.At, kept.Knowledge, kept.Starts, kept.Names = k.At, k.Learned, k.Starts, k.Names
 		version, entries = k.ListIs, k.aged(now)
+		if d := h.custody.Door(); d != nil && k.Door != nil && slices.Equal(k.Names, h.names()) {
+			d.Recall(*k.Door, recall.Weight(recall.Door, now.From(k.At).Age))
+		}
 		if len(entries) < len(k.Entries) {
 			h.log.Info("list of machines not used", "why", "it is too old", "machines", len(k.Entries))
 		}
--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -27,11 +27,12 @@
 	Starts             // how long a start takes
 	Traits             // what workloads and customers lose
 	Room               // how often no room is found
+	Door               // how narrow the door is
 	kinds
 )
 
 func (k Kind) String() string {
-	return [...]string{"list", "health", "shunning", "start times", "losses", "room"}[k]
+	return [...]string{"list", "health", "shunning", "start times", "losses", "room", "door"}[k]
 }
 
 // Tuned values: knowledge of a kind counts for half as much after its half-life, and not at all from the bound on. A
@@ -44,6 +45,7 @@
 	Starts: {6 * hour, 48 * hour},
 	Traits: {minute, 10 * minute},
 	Room:   {5 * placer.Second, minute},
+	Door:   {5 * placer.Second, minute},
 }
 
 // jumpFrom is a difference between two clocks that slewing does not explain.
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -259,6 +259,42 @@
 	}
 }
 
+// Known is what a door has learned, to be kept for another life of it.
+type Known struct {
+	Limit, Pace float64
+	Slow, Calm  []float64 // by workload, as parts of the agreed time; nothing is known of those below 0
+}
+
+// Knows gives it.
+func (d *Door) Knows() Known {
+	k := Known{Limit: d.limit, Pace: d.pace}
+	for _, m := range d.slow {
+		if !m.seen {
+			m.value, m.calm = -1, -1
+		}
+		k.Slow, k.Calm = append(k.Slow, m.value), append(k.Calm, m.calm)
+	}
+	return k
+}
+
+// Recall takes what an earlier life knew, before anything else: a door that opens wide in the middle of a storm would let
+// in all that was turned away before. Weight, from 1 to 0, is what the limit still counts for; what calm is like is
+// believed as it was.
+func (d *Door) Recall(k Known, weight float64) {
+	if len(k.Calm) != len(d.slow) || len(k.Slow) != len(d.slow) {
+		return
+	}
+	for i := range d.slow {
+		if k.Calm[i] >= 0 {
+			d.slow[i] = mean{k.Calm[i] + weight*(k.Slow[i]-k.Calm[i]), k.Calm[i], true}
+		}
+	}
+	if weight > 0 && k.Limit > 0 {
+		d.limit = min(float64(d.terms.Most), max(leastOpen, k.Limit/weight))
+		d.pace = k.Pace * weight
+	}
+}
+
 // Open and Limit are for figures.
 func (d *Door) Open() int      { return d.open }
 func (d *Door) Limit() float64 { return d.limit }
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -220,3 +220,39 @@
 		}
 	})
 }
+
+// A storm at the moment a placer restarts: the door of its next life is as narrow as the last one's, the less so the
+// older that is, and knows what calm was like.
+func TestRecalled(t *testing.T) {
+	before, now := narrowed(t)
+	for _, tc := range []struct {
+		weight float64
+		least  float64 // times the limit before
+		most   float64
+	}{{1, 1, 1}, {0.5, 2, 2}, {0, 100, math.Inf(1)}} {
+		after := New(terms())
+		after.Recall(before.Knows(), tc.weight)
+		if x := after.Limit() / before.Limit(); x < tc.least-0.01 || x > tc.most+0.01 {
+			t.Errorf("weight %.1f: the limit is %.2f times as wide", tc.weight, x)
+		}
+		if got, want := after.Knows().Calm[0], before.Knows().Calm[0]; got != want {
+			t.Errorf("weight %.1f: calm is %.2f, was %.2f", tc.weight, got, want)
+		}
+		if tc.weight < 1 {
+			continue
+		}
+		shed := 0
+		for i := range 500 {
+			if ok, _ := take(t, after, now, Asked{Client: fmt.Sprint(i % 50)}); !ok {
+				shed++
+			}
+		}
+		if shed == 0 {
+			t.Error("a new life takes in all that the last one turned away")
+		}
+	}
+	other := New(Terms{Most: 10, Workloads: []Workload{{sec, 1}}})
+	if other.Recall(before.Knows(), 1); other.Limit() != 10 {
+		t.Error("what was learned of other workloads is believed")
+	}
+}
