A bid's end over a standing link ends its machine's inquiry again

Cause: when inquiries moved from custody to recovery, Told lost the step that ends the machine's inquiry; after a restart of the system numbered work that came before could then wait until that link broke. Change: the step is back, with a case that fails without it.

--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -149,6 +149,7 @@
 			}
 		case Told:
 			r.settle(e.Held.Ask.Key, func(h Held) bool { return h.Bid == e.Held.Bid })
+			r.told(e.Held.Machine) // its link stands, and what else it knows it will tell by it
 		case Named:
 			r.named(e)
 		case Unnamed:
--- a/internal/recovery/recovery_test.go
+++ b/internal/recovery/recovery_test.go
@@ -70,6 +70,9 @@
 		{"synced, numbered, all told", Synced, []any{machines("m"), Spoke{"m"}}, 1, false, "sure"},
 		{"of this life, at-most-once", Written, []any{1 * sec, Unheard{bid("k", 2, "m", 9)}}, 2, true, "reach m"},
 		{"of this life, numbered: its group and window hold", Written, []any{1 * sec, Unheard{bid("k", 1, "m", 9)}}, 1, false, "reach m"},
+		// Without this the inquiry after a bid of this life stood until the link broke, and numbered work waited with it.
+		{"a bid's end over a standing link ends its inquiry", Synced, []any{machines("m", "n"), Spoke{"m"}, Unheard{bid("x", 2, "m", 9)},
+			Told{bid("x", 2, "m", 9)}, Spoke{"n"}}, 1, false, "sure"},
 		{"one that cannot be asked is asked later", Written, []any{machines("m"), NoLink{"m"}, 2 * sec, Passed{}}, 2, false, "reach m"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
