--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"os"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -235,10 +236,12 @@
 	defer d.Close()
 	s, _ := mustOpen(t, d, Terms{Small: 20_000})
 	want := map[string]string{}
-	for i := range 3000 {
+	var made atomic.Int64 // snapshots; each is written beside the work, so how many 3,000 commits lead to is chance
+	for i := 0; i < 3000 || made.Load() < 3 && i < 300_000; i++ {
 		k, v := fmt.Sprint(i%50), strings.Repeat(fmt.Sprint(i), 20)
 		want[k] = v
 		s.Commit([]Change{put(k, v)}, false, func(err error) {
+			made.Store(int64(s.Counts().Snapshots))
 			if err != nil {
 				t.Error(err)
 			}
