One piece each for what placer and keeper write, and for kinds in order

Need: reading the change again: both hosts had the same function that makes a change and the same wait for a synced commit, three places sorted the kinds of a store, a machine's start was spelled out three times, and the storm had a reason that nothing gave. Change: store.Put, Store.Keep, State.Kinds in order, machine.start, one verdict for trial why too. Behaviour is unchanged.

--- a/cmd/glenport-lab/main.go
+++ b/cmd/glenport-lab/main.go
@@ -205,16 +205,7 @@
 			defer done()
 			t := &lab.WhyTrial{Cycles: cycles, Steps: steps, Lie: lie, Out: os.Stdout}
 			ok, err := t.Run(d, dir, program)
-			if err != nil {
-				fmt.Printf("trial why: FAILED %v\n", err)
-				return errNotHeld
-			}
-			if !ok {
-				fmt.Println("trial why: FAILED an owner read what was not so, or too late")
-				return errNotHeld
-			}
-			fmt.Println("trial why: ok")
-			return nil
+			return verdict("why", ok, err, "an owner read what was not so, or too late")
 		}}
 	why.Flags().StringVar(&dir, "dir", "", "folder to keep the logs in")
 	why.Flags().IntVar(&cycles, "cycles", 50, "of draining and filling, four changes each")
--- a/cmd/glenport/state.go
+++ b/cmd/glenport/state.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"reflect"
-	"sort"
 	"time"
 
 	"glenport/internal/disk"
@@ -62,14 +61,8 @@
 		if s.CutOff > 0 {
 			fmt.Fprintf(out, "log: %d bytes of an unfinished group at the end, never acknowledged: cut off at the next start\n", s.CutOff)
 		}
-		kinds := s.Kinds()
-		var names []string
-		for k := range kinds {
-			names = append(names, k)
-		}
-		sort.Strings(names)
-		for _, k := range names {
-			fmt.Fprintf(out, "  %-10s %d\n", k, kinds[k])
+		for _, k := range s.Kinds() {
+			fmt.Fprintf(out, "  %-10s %d\n", k, s.Count(k))
 		}
 	}
 	if k := l.knowledge; k != nil {
@@ -119,13 +112,7 @@
 	}
 	lines := json.NewEncoder(out)
 	if l.state != nil {
-		kinds := l.state.Kinds()
-		names := make([]string, 0, len(kinds))
-		for k := range kinds {
-			names = append(names, k)
-		}
-		sort.Strings(names)
-		for _, kind := range names {
+		for _, kind := range l.state.Kinds() {
 			if err := l.state.Each(kind, func(key string, value []byte) error {
 				var v any
 				if err := decode.Unmarshal(value, &v); err != nil {
--- a/internal/host/state.go
+++ b/internal/host/state.go
@@ -71,9 +71,7 @@
 	}
 	now := stamp(placer.Time(h.loop.Now()))
 	s.life = s.before.Next(now)
-	written := make(chan error, 1)
-	s.log.Commit([]store.Change{s.lifeChange()}, true, func(err error) { written <- err })
-	if err := <-written; err != nil {
+	if err := s.log.Keep(s.lifeChange()); err != nil {
 		s.log.Close()
 		return fail(err)
 	}
@@ -82,7 +80,7 @@
 	return s, nil
 }
 
-func (s *state) lifeChange() store.Change { return change(LifeKind, lifeKey, s.life) }
+func (s *state) lifeChange() store.Change { return store.Put(LifeKind, lifeKey, s.life) }
 
 // read takes out of the log what this life needs of the earlier ones.
 func (s *state) read() (err error) {
@@ -123,14 +121,6 @@
 	return nil
 }
 
-func change(kind, key string, value any) store.Change {
-	v, err := cbor.Marshal(value)
-	if err != nil {
-		panic(err) // the types here always encode
-	}
-	return store.Change{Kind: kind, Key: key, Value: v}
-}
-
 // begin hands over what earlier lives left: the list and what was learned to the module, bids to custody.
 func (s *state) begin() {
 	h := s.h
@@ -160,7 +150,7 @@
 	}
 	machines, starts := map[placer.MachineID]recall.Machine{}, map[placer.MachineID]uint64{}
 	for id, m := range h.machines {
-		machines[id], starts[id] = recall.Machine{Start: m.incarnation, Started: m.startedAt}, m.incarnation
+		machines[id], starts[id] = m.start(), m.incarnation
 	}
 	b := recall.Believe(now, kept, machines, h.names(), h.site.Terms.ColdWindow)
 	l.Recall(b.Knowledge)
@@ -198,17 +188,21 @@
 	}
 }
 
-// start is how a machine stands.
+func (m *machine) start() recall.Machine {
+	return recall.Machine{Start: m.incarnation, Started: m.startedAt}
+}
+
+// start is how a machine stands, where it is known.
 func (s *state) start(id placer.MachineID) (recall.Machine, bool) {
 	m := s.h.machines[id]
 	if m == nil {
 		return recall.Machine{}, false
 	}
-	return recall.Machine{Start: m.incarnation, Started: m.startedAt}, true
+	return m.start(), true
 }
 
 func (s *state) put(kind, key string, value any) {
-	s.changes = append(s.changes, change(kind, key, value))
+	s.changes = append(s.changes, store.Put(kind, key, value))
 }
 
 func (s *state) drop(kind, key string) {
@@ -253,7 +247,7 @@
 
 // noteSend counts what goes to a cold machine.
 func (s *state) noteSend(m *machine) bool {
-	sent, cold := s.ledger.Note(placer.Time(s.h.loop.Now()), m.id, recall.Machine{Start: m.incarnation, Started: m.startedAt})
+	sent, cold := s.ledger.Note(placer.Time(s.h.loop.Now()), m.id, m.start())
 	if cold {
 		s.put(SentKind, string(m.id), sent)
 	}
--- a/internal/jobs/jobs.go
+++ b/internal/jobs/jobs.go
@@ -483,7 +483,7 @@
 				if d := a.Container.Door; d >= 0 {
 					k.Door = h.doors[d].addr
 				}
-				changes = append(changes, change(ContainerKind, containerID(a.Container.Job, a.Container.Index), k))
+				changes = append(changes, store.Put(ContainerKind, containerID(a.Container.Job, a.Container.Index), k))
 			}
 			h.show(a.Container)
 		case keeper.Removed:
@@ -495,7 +495,7 @@
 			}
 		case keeper.Strayed:
 			k := KeptStray{h.doors[a.Stray.Door].addr, a.Stray.Key}
-			changes = append(changes, change(StrayKind, k.Door+" "+k.Key, k))
+			changes = append(changes, store.Put(StrayKind, k.Door+" "+k.Key, k))
 		case keeper.Found:
 			changes = append(changes, store.Change{Kind: StrayKind, Key: h.doors[a.Stray.Door].addr + " " + a.Stray.Key})
 		case keeper.Wake:
--- a/internal/jobs/kept.go
+++ b/internal/jobs/kept.go
@@ -84,9 +84,7 @@
 	}
 	// No version of this life is one of an earlier: the ceiling is raised before any is given out.
 	p.ceiling += ceilingSteps
-	written := make(chan error, 1)
-	p.log.Commit([]store.Change{change(CeilingKind, ceilingKey, p.ceiling)}, true, func(err error) { written <- err })
-	if err := <-written; err != nil {
+	if err := p.log.Keep(store.Put(CeilingKind, ceilingKey, p.ceiling)); err != nil {
 		p.close()
 		return nil, fmt.Errorf("state folder %s: %w", folder, err)
 	}
@@ -157,19 +155,11 @@
 	return err
 }
 
-func change(kind, key string, value any) store.Change {
-	v, err := cbor.Marshal(value)
-	if err != nil {
-		panic(err) // the types here always encode
-	}
-	return store.Change{Kind: kind, Key: key, Value: v}
-}
-
 // keep commits changes and runs done on the loop. Versions that are given out stay below the ceiling on disk.
 func (p *promises) keep(changes []store.Change, durable bool, done func(error)) {
 	if v := p.h.Catalog.Taken(); v+ceilingSteps/2 > p.ceiling {
 		p.ceiling = v + ceilingSteps
-		changes = append(changes, change(CeilingKind, ceilingKey, p.ceiling))
+		changes = append(changes, store.Put(CeilingKind, ceilingKey, p.ceiling))
 		durable = true
 	}
 	for _, c := range changes {
@@ -282,7 +272,7 @@
 		c = h.publish(Jobs, id, k.Job, false, false)
 		k.Job.Version = c.version
 		c.value = k.Job
-		kept = change(JobKind, id, k)
+		kept = store.Put(JobKind, id, k)
 	}
 	h.keep([]store.Change{kept}, true, func(err error) {
 		if c.ready, c.failed = err == nil, err != nil; err == nil {
--- a/internal/lab/crashes.go
+++ b/internal/lab/crashes.go
@@ -80,7 +80,7 @@
 
 func textOf(s *store.State) string {
 	model := map[string]string{}
-	for kind := range s.Kinds() {
+	for _, kind := range s.Kinds() {
 		s.Each(kind, func(k string, v []byte) error {
 			model[kind+"/"+k] = string(v)
 			return nil
--- a/internal/store/format.go
+++ b/internal/store/format.go
@@ -43,6 +43,15 @@
 	Value []byte
 }
 
+// Put is a change that puts a value in CBOR.
+func Put(kind, key string, value any) Change {
+	v, err := cbor.Marshal(value)
+	if err != nil {
+		panic(err) // what is kept always encodes
+	}
+	return Change{Kind: kind, Key: key, Value: v}
+}
+
 // Corrupt says where a file is not what was written.
 type Corrupt struct {
 	File string
@@ -180,15 +189,23 @@
 	return err
 }
 
-// Kinds are those that have values.
-func (s *State) Kinds() map[string]int {
-	out := map[string]int{}
+// Kinds are those that have values, in order; Count is how many one has.
+func (s *State) Kinds() []string {
+	var all []string
 	for k, t := range s.kinds {
 		if t.Len() > 0 {
-			out[k] = t.Len()
+			all = append(all, k)
 		}
 	}
-	return out
+	sort.Strings(all)
+	return all
+}
+
+func (s *State) Count(kind string) int {
+	if t := s.kinds[kind]; t != nil {
+		return t.Len()
+	}
+	return 0
 }
 
 // copied shares what does not change.
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"os"
-	"sort"
 	"sync"
 	"time"
 
@@ -178,6 +177,13 @@
 	s.wake.Signal()
 }
 
+// Keep commits changes and waits until they are on disk.
+func (s *Store) Keep(changes ...Change) error {
+	done := make(chan error, 1)
+	s.Commit(changes, true, func(err error) { done <- err })
+	return <-done
+}
+
 // Close keeps what was committed and ends.
 func (s *Store) Close() error {
 	s.mu.Lock()
@@ -376,15 +382,6 @@
 	return before, now.Figures, nil
 }
 
-func sortedKinds(s *State) []string {
-	var all []string
-	for k := range s.kinds {
-		all = append(all, k)
-	}
-	sort.Strings(all)
-	return all
-}
-
 func writeSnapshot(d disk.Folder, first uint64, of *State) (size int, err error) {
 	p := header(snapSort, first)
 	var chunk []Change
@@ -397,7 +394,7 @@
 		}
 		return err
 	}
-	for _, kind := range sortedKinds(of) {
+	for _, kind := range of.Kinds() {
 		if err := of.Each(kind, func(key string, value []byte) error {
 			chunk = append(chunk, Change{Kind: kind, Key: key, Value: value})
 			if held += len(key) + len(value); held >= snapChunk {
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -55,12 +55,10 @@
 	TooSlow   Why = iota + 1 // what is open already is more than starts in time
 	CameAgain                // repeats are more than their share
 	Heavy                    // its client asks far more than others
-	Line                     // it came before its appointment could be kept
 )
 
 func (w Why) String() string {
-	return [...]string{"", "more is open than starts in time", "too many came again", "its client asks far more than others",
-		"it came before its time"}[w]
+	return [...]string{"", "more is open than starts in time", "too many came again", "its client asks far more than others"}[w]
 }
 
 // Event is something that happened.
