--- a/placer/placer.go
+++ b/placer/placer.go
@@ -122,6 +122,8 @@
 // Handle takes what happened by now and returns what is to be done.
 func (p *Placer) Handle(now Time, events []Event) []Action {
 	p.now, p.out = now, nil
+	var due []*container // to be placed once all that came is known: what is found running counts before any bid
+	woke := false
 	if p.began < 0 {
 		p.began = now
 		p.do(Wake{p.within(sweepEvery), "sweep"})
@@ -136,7 +138,7 @@
 			p.learn(e)
 		case Asked:
 			if c := p.take(e.Ask); c != nil {
-				p.place(c)
+				due = append(due, c)
 			} else {
 				p.do(GiveUp{e.ID})
 			}
@@ -150,7 +152,9 @@
 		case Noted:
 			p.note(e)
 		case Ended:
-			p.end(e)
+			if c := p.end(e); c != nil {
+				due = append(due, c)
+			}
 		case Vanished:
 			if c := p.containers[e.ID]; c != nil {
 				c.closed = true
@@ -162,9 +166,17 @@
 			if e.Name == "sweep" {
 				p.sweep()
 			}
-			p.overdue()
+			woke = true
+		}
+	}
+	for _, c := range due {
+		if !c.closed {
+			p.place(c)
 		}
 	}
+	if woke {
+		p.overdue()
+	}
 	return p.out
 }
 
@@ -556,11 +568,11 @@
 	c.at.used.add(c.used, 1)
 }
 
-// end takes in the one outcome of a bid and goes on with its container.
-func (p *Placer) end(e Ended) {
+// end takes in the one outcome of a bid and returns its container where that goes on.
+func (p *Placer) end(e Ended) *container {
 	c := p.containers[e.ID]
 	if c == nil || c.at == nil {
-		return
+		return nil
 	}
 	m, placed := c.at, c.placed
 	c.placed = false
@@ -604,9 +616,9 @@
 	if e.Over || c.closed { // a yes that crossed a withdrawal is not over: its answer is still owed
 		c.closed = true
 		p.forget(c)
-		return
+		return nil
 	}
-	p.place(c)
+	return c
 }
 
 // shut keeps a machine out of every draw for a while, on its own word.
