What went to a machine before its start was heard of counts against its cold budget

A second probe went to the new start while the first was out. Ruled out: the part of a placer and its window (TestColdBudgetInAnyWindow holds); bids to the process before, which no new start is charged with. Change: all sends of the last window are noted, by one path; a new start is charged with those that may have reached it. Not covered: a placer that also dies inside that window has written down only what it knew to be cold.

--- a/placer/api.go
+++ b/placer/api.go
@@ -330,7 +330,7 @@
 	Rest      Time    // how long it is one
 	ShutUntil Time    // out of every draw on its own word
 	Doubts    []Doubt // by trait
-	Cold      []Time  // when bids were sent to it while it was cold, the earliest first
+	Cold      []Time  // when bids and probes went to it in the last window, the earliest first
 }
 
 // StartTimes follows how long a yes takes: mean and mean deviation, in tenths of a millisecond.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -74,7 +74,7 @@
 	asked     room
 	used      room   // by own containers, as far as told
 	listAsks  room   // by everybody, as the list has it
-	coldBids  []Time // emptied as they leave the window
+	sent      []Time // bids and probes of the last cold window, emptied as they leave it
 	sick      float64
 	restUntil Time // a last resort until it answers a probe from then on; 0: it is not
 	rest      Time
@@ -229,9 +229,11 @@
 			continue
 		}
 		if m.started != l.StartedAt || !m.listed {
-			m.started, m.sick, m.restUntil, m.rest = l.StartedAt, 0, 0, restAtFirst
-			m.shutUntil, m.probing = 0, false
+			m.started, m.sick, m.restUntil, m.rest, m.shutUntil = l.StartedAt, 0, 0, restAtFirst, 0
 			clear(m.doubts)
+			for len(m.sent) > 0 && m.sent[0] < l.StartedAt-p.terms.ColdWindow/8 { // the rest may have reached this start
+				m.sent = m.sent[1:]
+			}
 		}
 		m.listed, m.zone, m.cell, m.kind, m.state = true, l.Zone, l.Cell, l.Kind, l.State
 		k := p.terms.Kinds[l.Kind]
@@ -320,9 +322,7 @@
 		p.answer(c)
 		return
 	}
-	if p.isCold(m) {
-		m.coldBids = append(m.coldBids, p.now)
-	}
+	m.sent = append(p.recent(m), p.now)
 	c.bids++
 	p.hold(c, m)
 	p.do(Bid{c.ask.ID, m.id, p.patience(c)})
@@ -506,19 +506,25 @@
 // sent in an earlier life, and sends nothing.
 func (p *Placer) coldBears(m *machine) bool {
 	if !p.isCold(m) {
-		m.coldBids = nil
 		return true
 	}
-	window := p.terms.ColdWindow + p.terms.ColdWindow/8
-	for len(m.coldBids) > 0 && m.coldBids[0] <= p.now-window {
-		m.coldBids = m.coldBids[1:]
-	}
 	all := max(1, p.terms.Placers)
 	part := p.terms.ColdBids / all
 	if (p.terms.Me+int(m.hash%uint64(all)))%all < p.terms.ColdBids%all {
 		part++
 	}
-	return p.now >= p.began+window && len(m.coldBids) < part
+	return p.now >= p.began+p.window() && len(p.recent(m)) < part
+}
+
+// window is the cold one and an eighth for the way. What is sent counts in it whether or not the machine is known to be
+// cold: it may have started since, unheard of.
+func (p *Placer) window() Time { return p.terms.ColdWindow + p.terms.ColdWindow/8 }
+
+func (p *Placer) recent(m *machine) []Time {
+	for len(m.sent) > 0 && m.sent[0] <= p.now-p.window() {
+		m.sent = m.sent[1:]
+	}
+	return m.sent
 }
 
 // patience is a bid's time-out: long enough for nearly every start seen of that workload; to the end where
@@ -750,9 +756,7 @@
 			continue
 		}
 		if p.terms.MayProbe && p.coldBears(m) {
-			if m.probing = true; p.isCold(m) {
-				m.coldBids = append(m.coldBids, p.now)
-			}
+			m.probing, m.sent = true, append(p.recent(m), p.now)
 			p.do(Probe{m.id})
 		} else if due && !p.terms.MayProbe {
 			p.readmit(m)
@@ -841,7 +845,7 @@
 		Missed: p.missed, SentSince: p.began}
 	for _, m := range p.order {
 		k.Machines = append(k.Machines, Learned{m.id, m.started, m.sick, m.restUntil, m.rest, m.shutUntil,
-			slices.Clone(m.doubts), slices.Clone(m.coldBids)})
+			slices.Clone(m.doubts), slices.Clone(p.recent(m))})
 	}
 	return k
 }
@@ -856,7 +860,7 @@
 	for _, l := range k.Machines {
 		if m := p.machines[l.Machine]; m != nil && m.listed && m.started == l.Started {
 			m.sick, m.restUntil, m.rest, m.shutUntil = l.Sick, l.RestUntil, max(restAtFirst, l.Rest), l.ShutUntil
-			m.coldBids = append(l.Cold, m.coldBids...)
+			m.sent = append(l.Cold, m.sent...)
 			if len(l.Doubts) == len(m.doubts) {
 				m.doubts = l.Doubts
 			}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -203,7 +203,7 @@
 			m := p.machines["a"]
 			m.started = p.now + 1
 			for i := 0; i < p.terms.ColdBids/p.terms.Placers; i++ {
-				m.coldBids = append(m.coldBids, p.now)
+				m.sent = append(m.sent, p.now)
 			}
 		}, "bcd"},
 		{"cold, just after own start", func(p *Placer) {
