What becomes of bids to an earlier start tells nothing of a machine's present one

Seen: a machine restarts, the list tells of the new start, then the links of the old one break: two lost containers or two bids cut short put the new start out for 2 s, in its first seconds (TestNewStart, log odds 5.0 of 4.6). Ruled out: the reset of evidence in learn, which comes before these outcomes and not after. At fault: end and probed judged by the machine, not by the start that the bid or probe went to. A probe that could not be sent for want of something here (NotSent) counted against the machine too. Change: outcomes of what was sent before the known start move no evidence. Before: out until 5 s after. After: log odds 0, drawn at once.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -79,7 +79,7 @@
 	sick      float64
 	restUntil Time // a last resort until it answers a probe from then on; 0: it is not
 	rest      Time
-	probing   bool
+	probing   Time    // since when a probe is out; 0: none is
 	heardAt   Time    // last sign of life
 	shutUntil Time    // out of every draw on its own word
 	doubts    []Doubt // by trait
@@ -594,8 +594,9 @@
 	c.placed = false
 	silent := m.heardAt < c.sentAt
 	p.release(c)
-	switch e.Outcome {
-	case Full:
+	switch o := e.Outcome; {
+	case c.sentAt < m.started: // it went to an earlier start, and tells nothing of this one
+	case o == Full:
 		m.heardAt = p.now
 		if (e.Reason == NoCores || e.Reason == NoMemory) && p.speaks(c) {
 			p.full += (1 - p.full) / 32
@@ -605,15 +606,15 @@
 		if e.Reason == NoReason && p.listsRoom(m, c) {
 			p.weigh(c, m, true)
 		}
-	case NoConnect:
+	case o == NoConnect:
 		p.judge(m, true)
-	case Erred, TimedOut, Reset:
-		if silent && !placed || e.Outcome == Reset && e.Reason == NoReason {
+	case o == Erred || o == TimedOut || o == Reset:
+		if silent && !placed || o == Reset && e.Reason == NoReason {
 			p.judge(m, true)
-		} else if e.Outcome != Reset && !placed {
+		} else if o != Reset && !placed {
 			p.weigh(c, m, true)
 		}
-	case Finished:
+	case o == Finished:
 		m.heardAt = p.now
 	}
 	if e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NotSent && c.ranAt == nil {
@@ -729,8 +730,10 @@
 	if m == nil {
 		return
 	}
-	m.probing = false
+	since := m.probing
+	m.probing = 0
 	switch {
+	case since < m.started: // it went to an earlier start
 	case e.Outcome == Finished:
 		m.heardAt = p.now
 		if m.restUntil > 0 {
@@ -738,6 +741,7 @@
 		}
 	case m.restUntil > 0:
 		m.restUntil = p.now + restAtFirst/2
+	case e.Outcome == NotSent: // for a want of this placer's own
 	default:
 		p.judge(m, true)
 	}
@@ -764,11 +768,11 @@
 	}
 	for _, m := range p.order {
 		due := m.restUntil > 0 && p.now >= m.restUntil
-		if m.state != Serving || m.probing || !due && (m.restUntil > 0 || !overdue[m]) {
+		if m.state != Serving || m.probing > 0 || !due && (m.restUntil > 0 || !overdue[m]) {
 			continue
 		}
 		if p.terms.MayProbe && p.coldBears(m) {
-			m.probing, m.sent = true, append(p.recent(m), p.now)
+			m.probing, m.sent = p.now, append(p.recent(m), p.now)
 			p.do(Probe{m.id})
 		} else if due && !p.terms.MayProbe {
 			p.readmit(m)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -622,3 +622,44 @@
 		t.Errorf("%+v", x)
 	}
 }
+
+// What becomes of bids and probes that went to an earlier start tells nothing of the one that the list names now.
+func TestNewStart(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		events []Event
+	}{
+		{"containers lost with it", []Event{Placed{ID: "x"}, Placed{ID: "y"}, Ended{ID: "x", Over: true, Outcome: Reset},
+			Ended{ID: "y", Over: true, Outcome: Reset}}},
+		{"bids cut short", []Event{Ended{ID: "x", Outcome: Reset}, Ended{ID: "y", Outcome: Reset}}},
+		{"a probe that stays unanswered", []Event{Probed{Machine: "a", Outcome: TimedOut}, Probed{Machine: "a", Outcome: TimedOut}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tm := terms(Reissuable)
+			tm.ColdFor = 0
+			p := fleet(tm)
+			for _, id := range []ContainerID{"x", "y"} {
+				ask(p, Second, id, "s")
+				p.move(id, "a")
+			}
+			p.machines["a"].probing = Second
+			p.Handle(3*Second, []Event{ListCame{Mode: Changes, Entries: []Entry{{Machine: "a", StartedAt: 2 * Second}}}})
+			for _, e := range tc.events {
+				p.Handle(3*Second, []Event{e})
+			}
+			if m := p.machines["a"]; m.sick > 0 || m.restUntil > 0 {
+				t.Errorf("log odds %.1f, out until %d", m.sick, m.restUntil)
+			}
+		})
+	}
+	t.Run("a probe that could not be sent", func(t *testing.T) {
+		p := fleet(terms(Reissuable))
+		for range 3 {
+			p.machines["a"].probing = Second
+			p.Handle(3*Second, []Event{Probed{Machine: "a", Outcome: NotSent}})
+		}
+		if m := p.machines["a"]; m.sick > 0 || m.probing > 0 {
+			t.Errorf("log odds %.1f, probing %v", m.sick, m.probing)
+		}
+	})
+}
