A state folder whose sync failed is written anew, without a restart

Seen: after one failed sync (ENOSPC at sync, as with delayed allocation or quotas; EIO) a placer's numbered and at-most-once work and a keeper's jobs were refused until a restart, room or not. One log line came for each group refused. Ruled out: trying the sync again (it may tell of success for pages that were dropped); a new log behind the old one (a half group in its middle is damage to the reader). At fault: store.write and compact (fail ended the store), keep (OnMode in each write). One line when changes are kept no longer, one when they are again. Before: TestFailures and TestWrittenAnew fail, 6 ways to fail. After: commits go on; stopped after each operation, in 6 states of the disk each, all that was acknowledged stands. Sabotaged (no announcement, same file again) both tests fail.

--- a/internal/store/format.go
+++ b/internal/store/format.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"slices"
 	"sort"
 	"strings"
 
@@ -274,7 +275,7 @@
 			return s, err
 		}
 	}
-	if len(logs) == 0 && len(snaps) > 0 {
+	if len(logs) == 0 && len(snaps) > 0 && !slices.Contains(s.stale, logOf(next)+disk.Unfinished) { // see mend
 		return s, &Corrupt{snaps[len(snaps)-1].name, 0, fmt.Sprintf("the log from group %d on is missing", next)}
 	}
 	s.logs = logs
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -23,9 +23,9 @@
 	mostGroup = 8 << 20 // bytes of changes that are written at once
 )
 
-// ErrBroken says that a sync failed. What of the file is on disk cannot be known from then on, and asking again
-// does not tell: nothing more is taken until the program was started anew and has read what is there.
-var ErrBroken = errors.New("the state folder cannot be trusted since a sync failed: start anew")
+// ErrBroken says that a sync failed. What of that file is on disk cannot be known from then on, and asking again does not
+// tell: nothing more is taken until all that was kept stands in other files.
+var ErrBroken = errors.New("the state folder cannot be trusted since a sync failed, and could not be written anew yet")
 
 // ErrStopped is for what comes after Close.
 var ErrStopped = errors.New("the state is closed")
@@ -56,6 +56,8 @@
 	last     uint64
 	safe     uint64
 	broken   error
+	refusing int           // commits in a row that were not kept
+	mended   uint64        // the group from which on a folder that is written anew is read; 0: none is
 	snapping chan struct{} // closed when the snapshot that is being written is done; nil: none is
 	ended    sync.WaitGroup
 
@@ -100,12 +102,17 @@
 // repair leaves a folder in which everything is on disk and one log is open. Each step may be cut off by another
 // crash: what it leaves is repaired likewise.
 func (s *Store) repair() error {
+	logs := s.state.logs
+	if len(logs) == 0 { // before anything that tells why there is none goes
+		if err := s.startLog(s.last + 1); err != nil {
+			return err
+		}
+	}
 	for _, name := range s.state.stale {
 		if err := s.d.Remove(name); err != nil {
 			return err
 		}
 	}
-	logs := s.state.logs
 	if n := len(logs); n > 0 && s.state.cut >= 0 {
 		l := logs[n-1]
 		f, err := s.d.Append(l.name)
@@ -130,13 +137,16 @@
 		if err := s.d.Remove(logs[n-1].name); err != nil {
 			return err
 		}
+		return s.startLog(s.last + 1)
 	}
-	return s.startLog(s.last + 1)
+	return nil
 }
 
+func logOf(first uint64) string { return fmt.Sprintf("%s%016x", logName, first) }
+
 // startLog makes the file of the groups from first on; it is on disk, with its name, before anything goes into it.
 func (s *Store) startLog(first uint64) error {
-	name := fmt.Sprintf("%s%016x", logName, first)
+	name := logOf(first)
 	f, err := s.d.Create(name)
 	if err != nil {
 		return err
@@ -242,21 +252,90 @@
 		all = append(all, c.changes...)
 		durable = durable || c.durable
 	}
-	err := s.broken
+	err := s.mend()
 	if err == nil {
 		err = s.write(all, durable)
 	}
-	if err != nil {
-		s.counts.Refused += len(group)
-	}
+	s.tell(err, len(group))
 	s.counts.Commits += len(group)
 	for _, c := range group {
 		c.done(err)
 	}
 }
 
+// tell says when changes are kept no longer, and when they are again.
+func (s *Store) tell(err error, commits int) {
+	switch {
+	case err != nil:
+		if s.refusing == 0 {
+			s.terms.OnMode("state not kept", "why", err)
+		}
+		s.counts.Refused += commits
+		s.refusing += commits
+	case s.refusing > 0:
+		s.terms.OnMode("state kept again", "commits refused", s.refusing)
+		s.refusing = 0
+	}
+}
+
+// mend writes all that was kept into other files, once a sync has failed: a snapshot, and a log that follows it. Until
+// both are on disk the folder is read as it was, or from that snapshot on; nothing is kept meanwhile, so both are true.
+// The file whose sync failed is not synced again. Each commit that waits tries, one try at a time.
+func (s *Store) mend() error {
+	if s.broken == nil {
+		return nil
+	}
+	if s.snapping != nil {
+		<-s.snapping
+		s.snapping = nil
+	}
+	if s.mended == 0 { // a number of its own: the log that broke may hold groups, or halves, up to the next
+		s.mended = s.last + 2
+	}
+	first := s.mended
+	size, err := 0, s.announce(first)
+	if err == nil {
+		size, err = writeSnapshot(s.d, first, s.state)
+	}
+	if err == nil {
+		if err = s.d.Remove(logOf(first)); errors.Is(err, os.ErrNotExist) { // of a try before
+			err = nil
+		}
+	}
+	if err == nil {
+		err = s.startLog(first)
+	}
+	if err == nil {
+		err = s.d.Remove(logOf(first) + disk.Unfinished)
+	}
+	if err != nil {
+		return fmt.Errorf("%w; %w", s.broken, err)
+	}
+	s.last, s.safe, s.since, s.snapSize, s.broken, s.mended = first-1, first-1, 0, size, nil, 0
+	s.counts.Snapshots++
+	if err := removeOlder(s.d, first); err != nil {
+		s.terms.OnMode("older state not removed", "why", err)
+	}
+	return nil
+}
+
+// announce leaves an unfinished log, by which a snapshot without the log that follows it is known not to be damage.
+func (s *Store) announce(first uint64) error {
+	f, err := s.d.Create(logOf(first) + disk.Unfinished)
+	if errors.Is(err, os.ErrExist) {
+		return s.d.Sync()
+	}
+	if err != nil {
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return err
+	}
+	return s.d.Sync()
+}
+
 // write puts one group into the log. A write that fails, as on a full disk, is taken back, and the next may
-// succeed; a sync that fails ends the store's work.
+// succeed; after a sync that fails all is written anew.
 func (s *Store) write(all []Change, durable bool) error {
 	body, err := cbor.Marshal(all)
 	if err != nil {
@@ -272,7 +351,6 @@
 				s.fail(fmt.Errorf("%w, and it could not be taken back: %w", err, t))
 				return s.broken
 			}
-			s.terms.OnMode("state not kept", "why", err)
 			return err
 		}
 		s.size += len(s.buf)
@@ -308,10 +386,7 @@
 
 var emptyGroup = []byte{0x80} // no changes, in CBOR
 
-func (s *Store) fail(why error) {
-	s.broken = fmt.Errorf("%w (%w)", ErrBroken, why)
-	s.terms.OnMode("state broken: nothing more is kept", "why", why)
-}
+func (s *Store) fail(why error) { s.broken = fmt.Errorf("%w (%w)", ErrBroken, why) }
 
 // compact writes a snapshot, beside the work, when the log has outgrown the last one: so the folder holds at most
 // the old snapshot and its log, the new one, and what came meanwhile.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -165,8 +165,8 @@
 		after bool // the next commit succeeds once the fault is gone
 	}{
 		{"full disk", "write", syscall.ENOSPC, true},
-		{"failing sync", "sync", syscall.EIO, false},
-		{"full, and not to be taken back", "write truncate", syscall.EIO, false},
+		{"failing sync", "sync", syscall.EIO, true},
+		{"full, and not to be taken back", "write truncate", syscall.EIO, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			d := faultdisk.New()
@@ -188,8 +188,8 @@
 				t.Errorf("after it: %v", err)
 			}
 			s.Close()
-			if modes == 0 {
-				t.Error("nobody was told")
+			if modes != 2 {
+				t.Errorf("%d changes of mode told, want kept no longer and kept again", modes)
 			}
 			r, err := Read(d, false)
 			if err != nil {
@@ -343,3 +343,88 @@
 		}
 	})
 }
+
+// A folder whose sync failed is written anew in the same process once that goes again. Wherever the system stops on the
+// way, what was acknowledged stands, in each state that the disk may be found in; and the file that failed is not asked again.
+func TestWrittenAnew(t *testing.T) {
+	for _, fails := range []string{"sync", "sync folder", "create", "rename", "remove", "write"} {
+		t.Run("a sync fails, then "+fails, func(t *testing.T) {
+			d := faultdisk.New()
+			s, _ := mustOpen(t, d, Terms{})
+			type mark struct {
+				ops  int
+				want map[string]string
+			}
+			var marks []mark
+			want := map[string]string{}
+			commit := func(key string) error {
+				err := commit1(s, true, put(key, key))
+				if err == nil {
+					want[key] = key
+					marks = append(marks, mark{d.Ops(), maps.Clone(want)})
+				}
+				return err
+			}
+			commit("a")
+			commit("b")
+			names, _ := d.List()
+			old, broke := names[len(names)-1], false
+			var after []string // of the file that failed
+			failing := "sync"
+			d.Fail = func(kind, name string) error {
+				if broke && name == old && kind != "remove" {
+					after = append(after, kind)
+				}
+				if kind != failing || failing == "sync" && kind == "sync" && !broke && name != old {
+					return nil
+				}
+				broke = broke || name == old
+				return syscall.ENOSPC
+			}
+			if err := commit("c"); !errors.Is(err, ErrBroken) {
+				t.Fatalf("%v", err)
+			}
+			failing = fails
+			for range 2 {
+				if err := commit("d"); !errors.Is(err, ErrBroken) && fails != "remove" {
+					t.Errorf("%v", err)
+				}
+			}
+			failing = ""
+			for _, key := range []string{"e", "f"} {
+				if err := commit(key); err != nil {
+					t.Errorf("%s with room again: %v", key, err)
+				}
+			}
+			s.Close()
+			if len(after) > 0 {
+				t.Errorf("the file that failed was asked again: %v", after)
+			}
+			for ops := marks[0].ops; ops <= d.Ops(); ops++ {
+				owed := map[string]string{}
+				for _, m := range marks {
+					if m.ops <= ops {
+						owed = m.want
+					}
+				}
+				for seed := range uint64(6) {
+					fate := []faultdisk.Fate{faultdisk.Lost, faultdisk.Kept}[seed%2]
+					if seed > 1 {
+						fate = faultdisk.Mixed(rand.New(rand.NewPCG(seed, uint64(ops))))
+					}
+					again, _, err := Open(d.Crash(ops, fate), Terms{})
+					if err != nil {
+						t.Fatalf("stopped after %d operations, fate %d: %v", ops, seed, err)
+					}
+					got := held(again.State())
+					again.Close()
+					for key := range owed {
+						if got[key] != key {
+							t.Fatalf("stopped after %d operations, fate %d: %s is lost of %v", ops, seed, key, got)
+						}
+					}
+				}
+			}
+		})
+	}
+}
