--- a/placer/placer.go
+++ b/placer/placer.go
@@ -74,11 +74,12 @@
 	asked     room
 	used      room   // by own containers, as far as told
 	listAsks  room   // by everybody, as the list has it
-	coldBids  []Time // emptied as they leave the window
+	sent      []Time // bids and probes of the last cold window, emptied as they leave it
+	leftBy    int    // containers out of whose draw it is
 	sick      float64
 	restUntil Time // a last resort until it answers a probe from then on; 0: it is not
 	rest      Time
-	probing   bool
+	probing   Time    // since when a probe is out; 0: none is
 	heardAt   Time    // last sign of life
 	shutUntil Time    // out of every draw on its own word
 	doubts    []Doubt // by trait
@@ -122,6 +123,8 @@
 // Handle takes what happened by now and returns what is to be done.
 func (p *Placer) Handle(now Time, events []Event) []Action {
 	p.now, p.out = now, nil
+	var due []*container // to be placed once all that came is known: what is found running counts before any bid
+	woke := false
 	if p.began < 0 {
 		p.began = now
 		p.do(Wake{p.within(sweepEvery), "sweep"})
@@ -136,7 +139,7 @@
 			p.learn(e)
 		case Asked:
 			if c := p.take(e.Ask); c != nil {
-				p.place(c)
+				due = append(due, c)
 			} else {
 				p.do(GiveUp{e.ID})
 			}
@@ -150,7 +153,9 @@
 		case Noted:
 			p.note(e)
 		case Ended:
-			p.end(e)
+			if c := p.end(e); c != nil {
+				due = append(due, c)
+			}
 		case Vanished:
 			if c := p.containers[e.ID]; c != nil {
 				c.closed = true
@@ -162,9 +167,17 @@
 			if e.Name == "sweep" {
 				p.sweep()
 			}
-			p.overdue()
+			woke = true
+		}
+	}
+	for _, c := range due {
+		if !c.closed {
+			p.place(c)
 		}
 	}
+	if woke {
+		p.overdue()
+	}
 	return p.out
 }
 
@@ -217,17 +230,25 @@
 			continue
 		}
 		if m.started != l.StartedAt || !m.listed {
-			m.started, m.sick, m.restUntil, m.rest = l.StartedAt, 0, 0, restAtFirst
-			m.shutUntil, m.probing = 0, false
+			m.started, m.sick, m.restUntil, m.rest, m.shutUntil = l.StartedAt, 0, 0, restAtFirst, 0
 			clear(m.doubts)
+			for len(m.sent) > 0 && m.sent[0] < l.StartedAt-p.terms.ColdWindow/8 { // the rest may have reached this start
+				m.sent = m.sent[1:]
+			}
 		}
 		m.listed, m.zone, m.cell, m.kind, m.state = true, l.Zone, l.Cell, l.Kind, l.State
 		k := p.terms.Kinds[l.Kind]
 		m.contract = min(k.Cores/p.terms.MeanCores, k.Memory/p.terms.MeanMemory)
 		m.listAsks = room{k.Cores - l.FreeCores, k.Memory - l.FreeMemory}
 	}
+	p.letGo()
+}
+
+// letGo drops machines that are gone once nothing speaks of them: no container that is held there or left them, no
+// send that would count if they came back with the same start.
+func (p *Placer) letGo() {
 	for i := len(p.order) - 1; i >= 0; i-- {
-		if m := p.order[i]; m.state == Gone && m.held == 0 {
+		if m := p.order[i]; m.state == Gone && m.held+m.leftBy == 0 && len(p.recent(m)) == 0 {
 			delete(p.machines, m.id)
 			p.order = append(p.order[:i], p.order[i+1:]...)
 		}
@@ -293,6 +314,9 @@
 		return
 	}
 	delete(p.containers, c.ask.ID)
+	for _, m := range c.left {
+		m.leftBy--
+	}
 	if c.service.containers--; c.service.containers == 0 {
 		delete(p.services, c.service.name)
 	}
@@ -308,9 +332,7 @@
 		p.answer(c)
 		return
 	}
-	if p.isCold(m) {
-		m.coldBids = append(m.coldBids, p.now)
-	}
+	m.sent = append(p.recent(m), p.now)
 	c.bids++
 	p.hold(c, m)
 	p.do(Bid{c.ask.ID, m.id, p.patience(c)})
@@ -494,19 +516,25 @@
 // sent in an earlier life, and sends nothing.
 func (p *Placer) coldBears(m *machine) bool {
 	if !p.isCold(m) {
-		m.coldBids = nil
 		return true
 	}
-	window := p.terms.ColdWindow + p.terms.ColdWindow/8
-	for len(m.coldBids) > 0 && m.coldBids[0] <= p.now-window {
-		m.coldBids = m.coldBids[1:]
-	}
 	all := max(1, p.terms.Placers)
 	part := p.terms.ColdBids / all
 	if (p.terms.Me+int(m.hash%uint64(all)))%all < p.terms.ColdBids%all {
 		part++
 	}
-	return p.now >= p.began+window && len(m.coldBids) < part
+	return p.now >= p.began+p.window() && len(p.recent(m)) < part
+}
+
+// window is the cold one and an eighth for the way. What is sent counts in it whether or not the machine is known to be
+// cold: it may have started since, unheard of.
+func (p *Placer) window() Time { return p.terms.ColdWindow + p.terms.ColdWindow/8 }
+
+func (p *Placer) recent(m *machine) []Time {
+	for len(m.sent) > 0 && m.sent[0] <= p.now-p.window() {
+		m.sent = m.sent[1:]
+	}
+	return m.sent
 }
 
 // patience is a bid's time-out: long enough for nearly every start seen of that workload; to the end where
@@ -556,18 +584,19 @@
 	c.at.used.add(c.used, 1)
 }
 
-// end takes in the one outcome of a bid and goes on with its container.
-func (p *Placer) end(e Ended) {
+// end takes in the one outcome of a bid and returns its container where that goes on.
+func (p *Placer) end(e Ended) *container {
 	c := p.containers[e.ID]
 	if c == nil || c.at == nil {
-		return
+		return nil
 	}
 	m, placed := c.at, c.placed
 	c.placed = false
 	silent := m.heardAt < c.sentAt
 	p.release(c)
-	switch e.Outcome {
-	case Full:
+	switch o := e.Outcome; {
+	case c.sentAt < m.started: // it went to an earlier start, and tells nothing of this one
+	case o == Full:
 		m.heardAt = p.now
 		if (e.Reason == NoCores || e.Reason == NoMemory) && p.speaks(c) {
 			p.full += (1 - p.full) / 32
@@ -577,15 +606,15 @@
 		if e.Reason == NoReason && p.listsRoom(m, c) {
 			p.weigh(c, m, true)
 		}
-	case NoConnect:
+	case o == NoConnect:
 		p.judge(m, true)
-	case Erred, TimedOut, Reset:
-		if silent && !placed || e.Outcome == Reset && e.Reason == NoReason {
+	case o == Erred || o == TimedOut || o == Reset:
+		if silent && !placed || o == Reset && e.Reason == NoReason {
 			p.judge(m, true)
-		} else if e.Outcome != Reset && !placed {
+		} else if o != Reset && !placed {
 			p.weigh(c, m, true)
 		}
-	case Finished:
+	case o == Finished:
 		m.heardAt = p.now
 	}
 	if e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NotSent && c.ranAt == nil {
@@ -601,12 +630,13 @@
 		p.shut(m, evicting, "evicting")
 	}
 	c.left = append(c.left, m)
+	m.leftBy++
 	if e.Over || c.closed { // a yes that crossed a withdrawal is not over: its answer is still owed
 		c.closed = true
 		p.forget(c)
-		return
+		return nil
 	}
-	p.place(c)
+	return c
 }
 
 // shut keeps a machine out of every draw for a while, on its own word.
@@ -700,8 +730,10 @@
 	if m == nil {
 		return
 	}
-	m.probing = false
+	since := m.probing
+	m.probing = 0
 	switch {
+	case since < m.started: // it went to an earlier start
 	case e.Outcome == Finished:
 		m.heardAt = p.now
 		if m.restUntil > 0 {
@@ -709,6 +741,7 @@
 		}
 	case m.restUntil > 0:
 		m.restUntil = p.now + restAtFirst/2
+	case e.Outcome == NotSent: // for a want of this placer's own
 	default:
 		p.judge(m, true)
 	}
@@ -722,6 +755,7 @@
 // sweep is the timer's work: the list that must be asked for, and machines whose rest is over.
 func (p *Placer) sweep() {
 	p.do(Wake{sweepEvery, "sweep"})
+	p.letGo()
 	if p.watchAt > 0 && p.now >= p.watchAt {
 		p.watchAt = 0
 		p.do(Watch{true})
@@ -734,13 +768,11 @@
 	}
 	for _, m := range p.order {
 		due := m.restUntil > 0 && p.now >= m.restUntil
-		if m.state != Serving || m.probing || !due && (m.restUntil > 0 || !overdue[m]) {
+		if m.state != Serving || m.probing > 0 || !due && (m.restUntil > 0 || !overdue[m]) {
 			continue
 		}
 		if p.terms.MayProbe && p.coldBears(m) {
-			if m.probing = true; p.isCold(m) {
-				m.coldBids = append(m.coldBids, p.now)
-			}
+			m.probing, m.sent = p.now, append(p.recent(m), p.now)
 			p.do(Probe{m.id})
 		} else if due && !p.terms.MayProbe {
 			p.readmit(m)
@@ -829,7 +861,7 @@
 		Missed: p.missed, SentSince: p.began}
 	for _, m := range p.order {
 		k.Machines = append(k.Machines, Learned{m.id, m.started, m.sick, m.restUntil, m.rest, m.shutUntil,
-			slices.Clone(m.doubts), slices.Clone(m.coldBids)})
+			slices.Clone(m.doubts), slices.Clone(p.recent(m))})
 	}
 	return k
 }
@@ -844,7 +876,7 @@
 	for _, l := range k.Machines {
 		if m := p.machines[l.Machine]; m != nil && m.listed && m.started == l.Started {
 			m.sick, m.restUntil, m.rest, m.shutUntil = l.Sick, l.RestUntil, max(restAtFirst, l.Rest), l.ShutUntil
-			m.coldBids = append(l.Cold, m.coldBids...)
+			m.sent = append(l.Cold, m.sent...)
 			if len(l.Doubts) == len(m.doubts) {
 				m.doubts = l.Doubts
 			}
