A listener that cannot accept rests, is heard of once, and takes callers again

Seen (TestAcceptAgain): with ENOBUFS, ENOMEM or another error of accept the loop spun on the readable listener in silence, three tries in 0 ms; with no descriptors and the spare one lost it was never sought again. Each caller turned away was a log line. Ruled out: EMFILE with the spare at hand (TestDescriptorLimit held and holds). At fault: Listener.ready returned without a word on any other error, and did nothing where spare was -1. Change: the listener is left alone for 100 ms; the spare is opened anew when it lacks; one line when callers are turned away and one when they are taken again. A dial that lacks descriptors or memory here ends with ErrShort, not as if its peer were out of reach. After: tries 100 ms apart, the waiting caller is taken once there is room.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -18,7 +18,8 @@
 )
 
 var (
-	ErrNoConnect = errors.New("no connection") // nothing was ever sent
+	ErrNoConnect = errors.New("no connection")                    // nothing was ever sent
+	ErrShort     = errors.New("too little here for a connection") // likewise, for want of descriptors or memory on this side
 	ErrReset     = errors.New("connection reset")
 	ErrClosed    = errors.New("closed from this side")
 	ErrBehind    = errors.New("peer takes too little: output is full")
@@ -27,6 +28,7 @@
 const (
 	readAtOnce    = 64 << 10
 	acceptAtOnce  = 64
+	acceptAgain   = 100 * Millisecond // after a listener failed
 	lingerAtClose = 2 * Second
 )
 
@@ -40,7 +42,8 @@
 // Loop is one event loop. All but Post and Stop may be called on its own goroutine only.
 type Loop struct {
 	epoll, bell int
-	spare       int // a descriptor held back, to turn callers away when there are none left
+	spare       int // a descriptor held back, to turn callers away when there are none left; -1: there is none
+	accept4     func(fd, flags int) (int, unix.Sockaddr, error)
 	started     time.Time
 	base        Tick
 	now         Tick
@@ -82,7 +85,7 @@
 	}
 	now := time.Now()
 	l := &Loop{epoll: epoll, bell: bell, started: now, base: Tick(now.UnixMicro() / 100), turn: turn,
-		byFD: map[int]served{}, buffer: make([]byte, readAtOnce), events: make([]unix.EpollEvent, 512)}
+		byFD: map[int]served{}, accept4: unix.Accept4, buffer: make([]byte, readAtOnce), events: make([]unix.EpollEvent, 512)}
 	l.now = l.base
 	l.wheel = NewWheel(l.now)
 	l.holdSpare()
@@ -259,11 +262,12 @@
 	addr   netip.AddrPort
 	accept func() (Handler, int)
 	turned func(why error)
+	away   bool // callers are turned away
 	closed bool
 }
 
 // Listen opens a listener. For each caller, accept gives its handler and the most bytes that may wait to be
-// written to it, or nil to turn it away; turned is told when a caller could not be taken.
+// written to it, or nil to turn it away; turned is told when callers can be taken no longer, and by nil when they are again.
 func (l *Loop) Listen(addr string, accept func() (Handler, int), turned func(error)) (*Listener, error) {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
@@ -312,22 +316,14 @@
 
 func (s *Listener) ready(uint32) {
 	for range acceptAtOnce {
-		fd, _, err := unix.Accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		fd, _, err := s.l.accept4(s.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 		switch {
-		case err == unix.EMFILE || err == unix.ENFILE:
-			// Without this the caller would wait in the kernel and the loop would spin on it.
-			if s.l.spare >= 0 {
-				unix.Close(s.l.spare)
-				if fd, _, e := unix.Accept4(s.fd, unix.SOCK_CLOEXEC); e == nil {
-					unix.Close(fd)
-				}
-				s.l.holdSpare()
-			}
-			s.turned(err)
+		case err == unix.EAGAIN:
 			return
 		case err == unix.EINTR || err == unix.ECONNABORTED:
 			continue
 		case err != nil:
+			s.refuse(err)
 			return
 		}
 		h, room := s.accept()
@@ -339,14 +335,52 @@
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 		if err := s.l.add(fd, unix.EPOLLIN, c); err != nil {
 			unix.Close(fd)
-			s.turned(err)
+			s.tell(err)
 			continue
 		}
+		s.tell(nil)
 		s.l.conns++
 		h.Opened(c)
 	}
 }
 
+// refuse turns one caller away by the spare descriptor, where that is what lacks and there is one: else it would wait in
+// the kernel, and the loop would spin on it. Where nothing can be done the listener is left alone for a while.
+func (s *Listener) refuse(err error) {
+	s.tell(err)
+	if err == unix.EMFILE || err == unix.ENFILE {
+		if s.l.spare < 0 {
+			s.l.holdSpare()
+		}
+		if s.l.spare >= 0 {
+			unix.Close(s.l.spare)
+			if fd, _, e := unix.Accept4(s.fd, unix.SOCK_CLOEXEC); e == nil {
+				unix.Close(fd)
+			}
+			s.l.holdSpare()
+			return
+		}
+	}
+	s.listen(0)
+	s.l.After(acceptAgain, func() {
+		if !s.closed {
+			s.listen(unix.EPOLLIN)
+		}
+	})
+}
+
+func (s *Listener) listen(events uint32) {
+	unix.EpollCtl(s.l.epoll, unix.EPOLL_CTL_MOD, s.fd, &unix.EpollEvent{Events: events, Fd: int32(s.fd)})
+}
+
+// tell says when callers are turned away, and when they are taken again.
+func (s *Listener) tell(why error) {
+	if s.away != (why != nil) {
+		s.away = why != nil
+		s.turned(why)
+	}
+}
+
 // Conn is one connection.
 type Conn struct {
 	l       *Loop
@@ -377,11 +411,25 @@
 	if err := c.dial(addr, within, prepare); err != nil {
 		l.conns--
 		c.dead = true
-		l.wheel.Set(l.now, func() { c.tell(fmt.Errorf("%w to %s: %w", ErrNoConnect, addr, err)) })
+		kind := ErrNoConnect
+		if short(err) {
+			kind = ErrShort
+		}
+		l.wheel.Set(l.now, func() { c.tell(fmt.Errorf("%w to %s: %w", kind, addr, err)) })
 	}
 	return c
 }
 
+// short tells whether an error is a want on this side: it says nothing of the peer.
+func short(err error) bool {
+	for _, e := range []unix.Errno{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM, unix.ENOSPC, unix.EAGAIN, unix.EADDRNOTAVAIL} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *Conn) dial(addr string, within Tick, prepare func(fd int) error) error {
 	ap, err := netip.ParseAddrPort(addr)
 	if err != nil {
@@ -435,6 +483,9 @@
 // Waiting is the number of bytes yet to be written.
 func (c *Conn) Waiting() int { return len(c.out) }
 
+// Behind tells whether the peer takes less than was written.
+func (c *Conn) Behind() bool { return c.waits }
+
 // Open tells whether the connection stands.
 func (c *Conn) Open() bool { return c.open && !c.dead }
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -5,11 +5,13 @@
 	"errors"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -301,6 +303,84 @@
 	}
 }
 
+// A listener that cannot accept, whatever lacks, neither spins nor is silent, and takes callers once there is room.
+func TestAcceptAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		err  error // nil: there are no descriptors, and the spare one could not be opened again
+	}{{"no buffers", syscall.ENOBUFS}, {"no memory", syscall.ENOMEM}, {"network down", syscall.ENETDOWN}, {"no spare descriptor", nil}} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, h := run(t, func() {}), newProbe()
+			turned, tries := make(chan error, 100), make(chan Tick, 1_000_000)
+			addr := listen(t, l, h, 100, func(err error) { turned <- err })
+			caller, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer syscall.Close(caller)
+			var failing atomic.Bool
+			failing.Store(true)
+			on(l, func() bool {
+				l.accept4 = func(fd, flags int) (int, unix.Sockaddr, error) {
+					tries <- l.now
+					if failing.Load() && tc.err != nil {
+						return -1, nil, tc.err
+					}
+					return unix.Accept4(fd, flags)
+				}
+				if tc.err == nil {
+					unix.Close(l.spare)
+					l.spare = -1
+				}
+				return true
+			})
+			var old syscall.Rlimit
+			syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old)
+			defer syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old)
+			if tc.err == nil {
+				lowest, _ := syscall.Dup(0)
+				syscall.Close(lowest)
+				syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(lowest), Max: old.Max})
+			}
+			to, _ := net.ResolveTCPAddr("tcp", addr)
+			syscall.Connect(caller, &syscall.SockaddrInet4{Port: to.Port, Addr: [4]byte{127, 0, 0, 1}})
+			if err := wait(t, turned); err == nil || tc.err != nil && err != tc.err {
+				t.Errorf("turned away by %v", err)
+			}
+			first := wait(t, tries)
+			wait(t, tries)
+			if third := wait(t, tries); third-first < acceptAgain {
+				t.Errorf("three tries in %d ms: the loop spins", (third-first)/Millisecond)
+			}
+			failing.Store(false)
+			syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old)
+			wait(t, h.opened)
+			if err := wait(t, turned); err != nil || len(turned) > 0 {
+				t.Errorf("told %v and %d more, want once that callers are taken again", err, len(turned))
+			}
+		})
+	}
+}
+
+// A dial that lacks descriptors here says so: it tells nothing of the peer.
+func TestShortOfDescriptors(t *testing.T) {
+	l, h := run(t, func() {}), newProbe()
+	addr := listen(t, l, newProbe(), 100, func(error) {})
+	var old syscall.Rlimit
+	syscall.Getrlimit(syscall.RLIMIT_NOFILE, &old)
+	lowest, _ := syscall.Dup(0)
+	syscall.Close(lowest)
+	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: uint64(lowest), Max: old.Max})
+	on(l, func() *Conn { return l.Dial(addr, h, 100, Second) })
+	why := wait(t, h.closed)
+	syscall.Setrlimit(syscall.RLIMIT_NOFILE, &old)
+	if !errors.Is(why, ErrShort) || errors.Is(why, ErrNoConnect) {
+		t.Error(why)
+	}
+	on(l, func() *Conn { return l.Dial(addr, h, 100, Second) })
+	wait(t, h.opened)
+}
+
 func TestTimersAndMail(t *testing.T) {
 	l := run(t, func() {})
 	fired := make(chan Tick, 3)
