A list older than the last, or of another life of its service, is not taken for news

A list service that started anew and had passed the version asked for sent changes alone: what changed before them was never heard. Ruled out: the module (it takes what it is given, and has no versions to go by); the stand-in list, whose log outlives its absence. At fault: listLink.take looked at neither the version nor the life in the greeting. Change: both end the link with a word, which is a failed call to the module: it asks again at a moment of its own, for the whole after another life. Before: the older list is taken. After: failed call, then the whole list.

--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -15,6 +15,7 @@
 	h       *Host
 	conn    *loop.Conn
 	reader  link.Reader
+	life    uint64 // of the service that told the version
 	version int64
 	held    heldList
 	heardAt loop.Tick
@@ -81,7 +82,15 @@
 		if f.Role != link.List {
 			return fmt.Errorf("a %s answers where the list was called", f.Role)
 		}
+		if was := l.version; f.Life != l.life {
+			if l.life, l.version = f.Life, 0; was > 0 { // what it was asked for, changes since then, are another life's
+				return fmt.Errorf("the list started anew: version %d was its earlier life's, it is asked for the whole", was)
+			}
+		}
 	case *link.Listed:
+		if f.Version < l.version {
+			return fmt.Errorf("list of version %d after one of version %d: not taken", f.Version, l.version)
+		}
 		mode := placer.Changes
 		if f.Whole {
 			mode = placer.WholeList
--- /dev/null
+++ b/internal/host/list_test.go
@@ -0,0 +1,69 @@
+package host
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"glenport/internal/link"
+	"glenport/placer"
+)
+
+// A list that is older than the last, or of another life of its service, is not taken for news; it is asked anew, for the
+// whole.
+func TestOlderList(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		life   uint64 // of the service when it is called again
+		listed link.Listed
+		since  int64 // asked for then
+	}{
+		{"an older version", 1, link.Listed{Whole: true, Version: 4}, 5},
+		{"another life of the service", 2, link.Listed{Version: 6}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var calls atomic.Int32
+			asked := make(chan int64, 10)
+			addr := serve(t, func(c net.Conn) {
+				n := calls.Add(1)
+				put(c, link.Greeting(link.List, "list", 1+(tc.life-1)*uint64(min(1, n-1))))
+				link.Read(c, link.MostFrame)
+				f, err := link.Read(c, link.MostFrame)
+				if err != nil {
+					return
+				}
+				asked <- f.(*link.Watch).Since
+				switch n {
+				case 1:
+					put(c, &link.Listed{Whole: true, Version: 5, Entries: []link.Entry{{Machine: "a", Addr: "127.0.0.1:1", State: link.Draining, Age: -1}}})
+				case 2:
+					put(c, &tc.listed)
+				default:
+					put(c, &link.Listed{Whole: true, Version: 7, Entries: []link.Entry{{Machine: "b", Addr: "127.0.0.1:1", Age: -1}}})
+				}
+				link.Read(c, link.MostFrame)
+			})
+			s := terms(t)
+			s.ListAddr = addr
+			sc := &script{events: make(chan placer.Event, 1000)}
+			r := &rig{T: t, script: sc, h: run(t, s, sc)}
+			for i, want := range []placer.ListMode{placer.WholeList, placer.ListFailed, placer.WholeList} {
+				r.h.loop.Post(func() {
+					if r.h.list.conn != nil {
+						r.h.list.asked = false
+						r.h.list.conn.Reset()
+					}
+					r.h.watch(&link.Watch{On: true, Since: r.h.list.version})
+				})
+				if e := await(r, func(e placer.ListCame) bool { return e.Mode != placer.OldList }); e.Mode != want {
+					t.Fatalf("call %d: mode %d, version %d", i+1, e.Mode, e.Version)
+				}
+			}
+			<-asked
+			<-asked
+			if since := <-asked; since != tc.since {
+				t.Errorf("changes since %d were asked for", since)
+			}
+		})
+	}
+}
