A want of descriptors or of the log here is no evidence against a machine

Seen (TestNoDescriptorLeft, TestHistories): with no descriptors left each bid without a link ended as NoConnect, two of them put a machine out as sick, and all looked sick in the first seconds after; three tries later custody counted the containers of a machine behind a broken link as lost. A bid that waited too long for the log, and a probe that the log refused, told against its machine likewise. Ruled out: machines with a standing link; refusals by the machine itself (Full, NoConnect by its own reset). At fault: machine.Closed, Host.offer and timedOut, Host.probe, custody.noLink: none looked at whose want it was. Change: ErrShort and the log's delay end bids and probes as NotSent; a try that failed so is not counted against a machine's containers.

--- a/internal/custody/custody.go
+++ b/internal/custody/custody.go
@@ -81,9 +81,12 @@
 		Machine placer.MachineID
 		Held    []Held
 	}
-	// Broke is the end of a link, NoLink one that could not be made.
+	// Broke is the end of a link, NoLink one that could not be made, perhaps for a want of this placer's own.
 	Broke  struct{ Machine placer.MachineID }
-	NoLink struct{ Machine placer.MachineID }
+	NoLink struct {
+		Machine placer.MachineID
+		Short   bool
+	}
 	// Named are machines of a list, all there are where it is whole and fresh; Unnamed is one that is gone.
 	Named struct {
 		Machines []placer.MachineID
@@ -291,7 +294,7 @@
 				t.broken[e.Machine] = &gap{pause: resumeFirst, idle: true, next: now}
 			}
 		case NoLink:
-			t.noLink(e.Machine)
+			t.noLink(e.Machine, e.Short)
 		case Named:
 			t.recover(recovery.Named{Machines: e.Machines, Whole: e.Whole})
 		case Unnamed:
@@ -578,13 +581,17 @@
 
 // noLink gives up a machine's containers after some tries. A short loss of the link costs nothing then, and a
 // dead machine is known a second after it died; containers that run on behind a longer cut are taken over, or
-// stopped, when it ends.
-func (t *Table) noLink(m placer.MachineID) {
+// stopped, when it ends. A try that failed for a want of this placer's own tells nothing of the machine.
+func (t *Table) noLink(m placer.MachineID, short bool) {
 	t.recover(recovery.NoLink{Machine: m})
 	g := t.broken[m]
 	if g == nil {
 		return
 	}
+	if short {
+		g.tries, g.idle, g.next = g.tries-1, true, t.now+resumeFirst
+		return
+	}
 	if g.tries < resumeTries {
 		g.idle, g.next, g.pause = true, t.now+g.pause, g.pause*resumeGrows
 		return
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -415,8 +415,7 @@
 	h.unsent++
 	h.loop.After(h.site.Connect, func() {
 		if m.forgetWaiting(b) {
-			h.meter.outcome("no connection")
-			h.over(b, placer.Ended{Outcome: placer.NoConnect})
+			h.unreached(b)
 		}
 	})
 	h.reach(m)
@@ -434,6 +433,17 @@
 	}
 }
 
+// unreached ends a bid that waited in vain. Where its link stands it was the log that it waited for: that tells nothing
+// of its machine.
+func (h *Host) unreached(b *bid) {
+	if b.unkept || b.at.ready {
+		h.notSent(b)
+		return
+	}
+	h.meter.outcome("no connection")
+	h.over(b, placer.Ended{Outcome: placer.NoConnect})
+}
+
 func (h *Host) notSent(b *bid) {
 	h.meter.outcome("not sent")
 	h.over(b, placer.Ended{Outcome: placer.NotSent})
@@ -443,7 +453,7 @@
 	b.timer = nil
 	if !b.sent {
 		b.at.forgetWaiting(b)
-		h.over(b, placer.Ended{Outcome: placer.NoConnect})
+		h.unreached(b)
 		return
 	}
 	h.meter.outcome("timed out")
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -1,6 +1,7 @@
 package host
 
 import (
+	"errors"
 	"fmt"
 
 	"glenport/internal/custody"
@@ -98,14 +99,17 @@
 	if c != m.conn {
 		return
 	}
-	was := m.ready
+	was, short := m.ready, errors.Is(why, loop.ErrShort)
 	m.conn, m.ready = nil, false
 	waiting := m.waiting
 	m.waiting = nil
 	m.h.gone(len(waiting))
 	for _, b := range waiting {
-		m.h.meter.outcome("no connection")
-		m.h.over(b, placer.Ended{Outcome: placer.NoConnect})
+		if short {
+			m.h.notSent(b)
+		} else {
+			m.h.unreached(b)
+		}
 	}
 	for _, b := range ordered(m.bids) {
 		if !b.placed {
@@ -115,9 +119,12 @@
 		}
 	}
 	for _, p := range m.probes {
-		if was {
+		switch {
+		case was:
 			m.probed(p, placer.Reset, nil)
-		} else {
+		case short:
+			m.probed(p, placer.NotSent, nil)
+		default:
 			m.probed(p, placer.NoConnect, nil)
 		}
 	}
@@ -125,7 +132,7 @@
 	if was {
 		m.h.tell(custody.Broke{Machine: m.id})
 	} else {
-		m.h.tell(custody.NoLink{Machine: m.id})
+		m.h.tell(custody.NoLink{Machine: m.id, Short: short})
 	}
 	m.settle()
 }
@@ -312,7 +319,9 @@
 	if h.state != nil && h.state.noteSend(m) {
 		p.unkept = true
 		h.state.after(false, func(err error) {
-			if p.unkept = false; err == nil && m.probes[p.seq] == p {
+			if p.unkept = false; err != nil {
+				m.probed(p, placer.NotSent, nil)
+			} else if m.probes[p.seq] == p {
 				m.sendProbe(p)
 			}
 		})
