A bid that waited is not sent when its machine drains, goes or starts anew meanwhile

Seen (TestChangesUnderWaitingBid): a bid that waited for its link or for the log was sent although the list had told meanwhile that its machine drains, is gone or has a new start. The machine's greeting tells its start before the list does, and nobody looked. Ruled out: bids to a standing link leave in the turn in which they are decided; a container taken over meanwhile was looked at already. At fault: machine.sendWaiting, take (Hello: role and name only), offer; Host.learn took an older start for a newer. Change: a bid remembers the start it was decided for; a stale one goes back as NotSent and is decided anew, after the module heard why. A greeting with a later start is told to the module as a start of now, until a list tells its age. Where the peer takes less than was written no bid is put behind it.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -87,10 +87,11 @@
 	timer   *loop.Timer
 	sent    bool
 	placed  bool
-	stopped bool // its end was asked for
-	after   int  // takeovers before it was decided on
-	logged  bool // the log holds it
-	unkept  bool // it waits for the log
+	stopped bool   // its end was asked for
+	start   uint64 // of its machine, as known when it was decided on
+	after   int    // takeovers before that
+	logged  bool   // the log holds it
+	unkept  bool   // it waits for the log
 }
 
 // New makes the host of one life of a placer and opens its door. Stop or Run to its end frees what it holds.
@@ -394,7 +395,7 @@
 		until = min(until, now+loop.Tick(a.MaxWait))
 	}
 	h.lastBid++
-	b := &bid{number: h.lastBid, life: h.life, nth: c.bids, c: c, at: m, sentAt: now, until: until, after: h.takeovers}
+	b := &bid{number: h.lastBid, life: h.life, nth: c.bids, c: c, at: m, sentAt: now, until: until, start: m.incarnation, after: h.takeovers}
 	c.bid = b
 	c.bids++
 	b.timer = h.loop.After(until-now, func() { h.timedOut(b) })
--- a/internal/host/list.go
+++ b/internal/host/list.go
@@ -137,15 +137,13 @@
 				m.conn.Reset() // it has moved
 			}
 		}
-		if m.incarnation != l.Incarnation || m.startedAt == 0 {
-			m.incarnation, m.startedAt = l.Incarnation, 0
+		if l.Incarnation > m.incarnation || l.Incarnation == m.incarnation && (m.startedAt == 0 || m.greeted) {
+			m.incarnation, m.startedAt, m.greeted = l.Incarnation, 0, false
 			if l.Age >= 0 {
 				m.startedAt = max(1, now-placer.Time(l.Age))
 			}
 		}
-		e.Entries = append(e.Entries, placer.Entry{Machine: m.id, Zone: l.Zone, Kind: l.Kind, Cell: l.Cell,
-			State: placer.MachineState(l.State), FreeCores: l.FreeCores, FreeMemory: l.FreeMemory, PowerHint: l.Hint,
-			StartedAt: m.startedAt})
+		e.Entries = append(e.Entries, m.entry(l))
 	}
 	for id, m := range h.machines {
 		if mode != placer.Changes && !named[id] {
@@ -164,6 +162,25 @@
 	h.list.held.merge(mode, version, entries)
 }
 
+func (m *machine) entry(l *link.Entry) placer.Entry {
+	return placer.Entry{Machine: m.id, Zone: l.Zone, Kind: l.Kind, Cell: l.Cell, State: placer.MachineState(l.State),
+		FreeCores: l.FreeCores, FreeMemory: l.FreeMemory, PowerHint: l.Hint, StartedAt: m.startedAt}
+}
+
+// greeted takes up a start of which no list has told yet: the machine's own word is the first. It says which start, not
+// how old; until a list does, it counts as new.
+func (h *Host) greeted(m *machine, start uint64) {
+	l, listed := h.list.held.entries[string(m.id)]
+	if start <= m.incarnation || !listed {
+		return
+	}
+	m.incarnation, m.startedAt, m.greeted = start, placer.Time(h.loop.Now()), true
+	h.feed(placer.ListCame{Mode: placer.Changes, Version: h.list.version, Entries: []placer.Entry{m.entry(&l)}})
+	if h.state != nil {
+		h.state.named()
+	}
+}
+
 // heldList is the list as last heard.
 type heldList struct {
 	entries map[string]link.Entry
--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -19,6 +19,7 @@
 	draining    bool
 	incarnation uint64
 	startedAt   placer.Time
+	greeted     bool // no list has told of this start yet, only the machine itself
 
 	conn    *loop.Conn
 	reader  link.Reader
@@ -160,7 +161,7 @@
 
 func (m *machine) offer(b *bid) {
 	a, now := &b.c.ask, m.h.loop.Now()
-	b.sent = m.write(&link.Offer{Bid: b.number, Wait: link.Span(b.until - now), Work: link.Work{
+	b.sent = !m.conn.Behind() && m.write(&link.Offer{Bid: b.number, Wait: link.Span(b.until - now), Work: link.Work{
 		Container: string(a.ID), Key: a.Key, Service: a.Service, Workload: a.Workload, Customer: a.Customer,
 		Cores: a.Cores, Memory: a.Memory, Window: b.c.window, RunFor: link.Span(a.Life), Again: a.Again}})
 	if !b.sent { // the machine takes too little of what waits for it
@@ -172,8 +173,15 @@
 	m.h.meter.bid(b.c)
 }
 
-// sendWaiting sends the bids that waited for the link, but for those that still wait for the log. One whose service was
-// found to run more than was known when it was decided on is not sent: the module, which knows by now, decides anew.
+// stale tells whether a bid that waited was decided on what is not so any more: its machine drains, is gone or has started
+// anew, or its service was found to run more than was known.
+func (b *bid) stale() bool {
+	m := b.at
+	return m.gone || m.draining || m.incarnation != b.start || m.h.tookOver[b.c.ask.Service] > b.after
+}
+
+// sendWaiting sends the bids that waited for the link, but for those that still wait for the log. A stale one is not
+// sent: the module, which knows by now, decides anew.
 func (m *machine) sendWaiting() {
 	if !m.ready {
 		return
@@ -182,7 +190,7 @@
 		if b.unkept || !m.forgetWaiting(b) {
 			continue
 		}
-		if m.h.tookOver[b.c.ask.Service] > b.after {
+		if b.stale() {
 			m.h.notSent(b)
 		} else {
 			m.offer(b)
@@ -216,6 +224,7 @@
 		if f.Role != link.Machine || f.Name != string(m.id) {
 			return fmt.Errorf("%s %q answers where machine %s was called", f.Role, f.Name, m.id)
 		}
+		m.h.greeted(m, f.Life)
 	case *link.Holds:
 		return m.holds(f)
 	case *link.Yes:
--- /dev/null
+++ b/internal/host/waiting_test.go
@@ -0,0 +1,88 @@
+package host
+
+import (
+	"net"
+	"testing"
+
+	"glenport/internal/link"
+	"glenport/internal/loop"
+	"glenport/placer"
+)
+
+// slowMachine greets and says what it holds when it is told to, as the start it is told.
+func slowMachine(t *testing.T, name string) (addr string, greet chan uint64, offered chan string) {
+	greet, offered = make(chan uint64), make(chan string, 100)
+	done := make(chan struct{})
+	addr = serve(t, func(c net.Conn) {
+		var start uint64
+		select {
+		case start = <-greet:
+		case <-done:
+			return
+		}
+		link.Read(c, link.MostFrame)
+		put(c, link.Greeting(link.Machine, name, start), &link.Holds{Incarnation: start})
+		for {
+			f, err := link.Read(c, link.MostFrame)
+			if err != nil {
+				return
+			}
+			if o, ok := f.(*link.Offer); ok {
+				offered <- o.Work.Container
+				put(c, &link.Yes{Bid: o.Bid, Running: true})
+			}
+		}
+	})
+	t.Cleanup(func() { close(done) })
+	return addr, greet, offered
+}
+
+// A bid that waits for its link is not sent when what it was decided on has changed meanwhile; the module, which is told
+// before, decides anew. The machine's own greeting tells of a start before the list does.
+func TestChangesUnderWaitingBid(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		change *link.Entry // by the list; nil: nothing
+		start  uint64      // that the machine greets with
+		sent   bool
+	}{
+		{"nothing", nil, 1, true},
+		{"it drains", &link.Entry{Machine: "a", State: link.Draining, Incarnation: 1, Age: -1}, 1, false},
+		{"it is gone", &link.Entry{Machine: "a", State: link.Gone, Incarnation: 1, Age: -1}, 1, false},
+		{"it has started anew, says the list", &link.Entry{Machine: "a", Incarnation: 2, Age: 100}, 2, false},
+		{"it has started anew, says its greeting", nil, 2, false},
+		{"the list is older than its greeting", &link.Entry{Machine: "a", Incarnation: 1, Age: -1}, 2, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr, greet, offered := slowMachine(t, "a")
+			s := terms(t)
+			s.Connect = 10 * loop.Second
+			r := start(t, s, bidTo(0), map[string]string{"a": addr})
+			r.door.submit("x", 0)
+			until(t, func() bool { return on1(r.h, func() bool { return len(r.h.machines["a"].waiting) > 0 }) })
+			if tc.change != nil {
+				on1(r.h, func() bool {
+					tc.change.Addr = addr
+					r.h.learn(placer.Changes, 2, []link.Entry{*tc.change})
+					return true
+				})
+			}
+			greet <- tc.start
+			if tc.sent {
+				if a := r.door.answer(); a.Verdict != link.Placed {
+					t.Errorf("%+v", a)
+				}
+				return
+			}
+			if tc.start == 2 {
+				l := await(r, func(e placer.ListCame) bool { return len(e.Entries) > 0 && e.Entries[0].StartedAt > 0 })
+				if now := on1(r.h, func() placer.Time { return placer.Time(r.h.loop.Now()) }); l.Entries[0].StartedAt > now {
+					t.Errorf("%+v at %d", l, now)
+				}
+			}
+			if e := await[placer.Ended](r, nil); e.Outcome != placer.NotSent || len(offered) > 0 {
+				t.Errorf("%+v, %d offered", e, len(offered))
+			}
+		})
+	}
+}
