--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -317,7 +317,11 @@
 func (l *Ledger) Drop(now placer.Time, machines func(placer.MachineID) (Machine, bool)) []placer.MachineID {
 	var out []placer.MachineID
 	for id, s := range l.sent {
-		if m, there := machines(id); !there || m.Start != s.Start || m.Started == 0 || now >= m.Started+l.coldFor {
+		m, there := machines(id)
+		if !there && s.Times[len(s.Times)-1] > now-2*l.window {
+			continue // it may come back with the same start
+		}
+		if !there || m.Start != s.Start || m.Started == 0 || now >= m.Started+l.coldFor {
 			out = append(out, id)
 		}
 	}
--- a/internal/recall/recall_test.go
+++ b/internal/recall/recall_test.go
@@ -147,6 +147,10 @@
 	if len(found) != 1 || found[0].Machine != "m" || len(found[0].Cold) != 1 || len(left) != 1 || left[0].Machine != "n" {
 		t.Errorf("found %v, left %v", found, left)
 	}
+	gone := func(placer.MachineID) (Machine, bool) { return Machine{}, false }
+	if got := l.Drop(105*sec+2*window-1, gone); len(got) != 0 {
+		t.Error("dropped while it may come back with the same start")
+	}
 	if got := l.Drop(116*sec, at); len(got) != 0 {
 		t.Error("dropped while cold")
 	}
