Every order of a few events on the host over loopback, judged by what passes on the links

Need: placer, custody, recovery and host are joined in the host alone; nobody had tried their orders together. Change: two scripted machines, a list and an owner; a step is over when every byte written by one side was read by the other and nothing is left to decide (Conn.Moved), so no step waits for a time. Judged by the same judge as the module. A module that is not told one thing breaks each rule and is caught.

--- /dev/null
+++ b/internal/host/orders_test.go
@@ -0,0 +1,576 @@
+package host
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"glenport/internal/link"
+	"glenport/internal/loop"
+	"glenport/internal/orders"
+	"glenport/internal/site"
+	"glenport/placer"
+
+	"golang.org/x/sys/unix"
+)
+
+// pipe is one end of a link that the test holds. Nothing in it waits: what is there is taken.
+type pipe struct {
+	fd     int
+	reader link.Reader
+	given  int // bytes, so far
+	taken  int
+	closed bool
+}
+
+func (p *pipe) take(f func(link.Frame)) (any bool) {
+	buffer := make([]byte, 1<<16)
+	for p != nil && !p.closed {
+		n, _, err := unix.Recvfrom(p.fd, buffer, unix.MSG_DONTWAIT)
+		if err == unix.EAGAIN {
+			return any
+		}
+		any = true
+		if err != nil || n == 0 {
+			p.close()
+			return any
+		}
+		p.taken += n
+		p.reader.Feed(buffer[:n], func(x link.Frame) error { f(x); return nil })
+	}
+	return any
+}
+
+func (p *pipe) put(f link.Frame) {
+	if b, err := link.Append(nil, f); err == nil && !p.closed {
+		n, _ := unix.Write(p.fd, b)
+		p.given += n
+	}
+}
+
+func (p *pipe) close() {
+	if p != nil && !p.closed {
+		p.closed = true
+		unix.Close(p.fd)
+	}
+}
+
+// listening is a socket to be called, and the last caller.
+type listening struct {
+	fd   int
+	addr string
+	call *pipe
+}
+
+func listenHere(t *testing.T) *listening {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	unix.Listen(fd, 8)
+	own, _ := unix.Getsockname(fd)
+	return &listening{fd: fd, addr: fmt.Sprint("127.0.0.1:", own.(*unix.SockaddrInet4).Port)}
+}
+
+func (l *listening) accept() bool {
+	fd, _, err := unix.Accept4(l.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+	if err != nil {
+		return false
+	}
+	l.call.close()
+	l.call = &pipe{fd: fd}
+	return true
+}
+
+// scripted is a machine that does what an order says.
+type scripted struct {
+	*listening
+	link.Entry
+	start uint64
+	born  placer.Time         // of that start; 0: long ago
+	held  map[uint64]*holding // by bid
+}
+
+type holding struct {
+	link.Holding
+	out bool   // the placer awaits its answer
+	as  string // what the judge knows it by
+}
+
+// world is the host with two machines, its list and an owner, over loopback. The judge sees what passes on the links.
+type world struct {
+	t        *testing.T
+	h        *Host
+	judge    *orders.Judge
+	list     *listening
+	owner    *pipe
+	machines map[string]*scripted
+	version  int64
+	asked    int
+	answers  map[string]int
+	ended    map[string]bool
+	adopted  int
+}
+
+func newWorld(t *testing.T, s *site.Placer, around func(orders.Decider) orders.Decider) *world {
+	w := &world{t: t, list: listenHere(t), machines: map[string]*scripted{}, answers: map[string]int{}, ended: map[string]bool{}}
+	for i, name := range []string{"a", "b"} {
+		m := &scripted{listening: listenHere(t), start: 1, held: map[uint64]*holding{}}
+		m.Entry = link.Entry{Machine: name, Addr: m.addr, Cell: i, Incarnation: 1, Age: -1, FreeCores: 20, FreeMemory: 20}
+		w.machines[name] = m
+	}
+	own := *s
+	own.ListAddr = w.list.addr
+	d := placer.New(own.Terms)
+	d.Recall(placer.Knowledge{SentSince: 1})
+	w.judge = orders.NewJudge(own.Terms, 1, 0)
+	var err error
+	if w.h, err = New(&own, around(d), discard); err != nil {
+		t.Fatal(err)
+	}
+	var all sync.WaitGroup
+	all.Go(func() { w.h.Run() })
+	t.Cleanup(all.Wait)
+	w.h.loop.Post(func() { w.h.watch(&link.Watch{On: true}) })
+	fd, _ := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	door := netip.MustParseAddrPort(w.h.Addr())
+	if err := unix.Connect(fd, &unix.SockaddrInet4{Port: int(door.Port()), Addr: door.Addr().As4()}); err != nil {
+		t.Fatal(err)
+	}
+	w.owner = &pipe{fd: fd}
+	w.owner.put(link.Greeting(link.Owner, "owner", 1))
+	w.settle()
+	return w
+}
+
+func (w *world) close() {
+	w.h.Stop()
+	for _, m := range w.machines {
+		m.call.close()
+		unix.Close(m.fd)
+	}
+	w.list.call.close()
+	unix.Close(w.list.fd)
+	w.owner.close()
+}
+
+func (w *world) now() placer.Time {
+	return on1(w.h, func() placer.Time { return placer.Time(w.h.loop.Now()) })
+}
+
+// settle lets the host take all that is on its way, and takes all that comes of it: until every byte that one side wrote
+// was read by the other, no connection is being made or ended, and nothing is left to be decided.
+func (w *world) settle() {
+	for limit := time.Now().Add(20 * time.Second); ; {
+		now, any := w.now(), w.list.accept()
+		if any {
+			w.list.call.put(link.Greeting(link.List, "list", 1))
+		}
+		any = w.list.call.take(func(f link.Frame) {
+			if _, ok := f.(*link.Watch); ok {
+				w.tell(now, true, w.entries()...)
+			}
+		}) || any
+		for _, name := range []string{"a", "b"} {
+			any = w.serve(now, w.machines[name]) || any
+		}
+		any = w.owner.take(func(f link.Frame) { w.heard(now, f) }) || any
+		if !any && on1(w.h, w.quiet) {
+			return
+		}
+		if time.Now().After(limit) {
+			w.t.Fatal("no quiet in 20 s")
+		}
+	}
+}
+
+// quiet is asked on the loop.
+func (w *world) quiet() bool {
+	even := func(c *loop.Conn, p *pipe) bool {
+		if c == nil || p == nil || p.closed {
+			return c == nil && (p == nil || p.closed)
+		}
+		read, written := c.Moved()
+		return c.Open() && read == p.given && written == p.taken && c.Waiting() == 0
+	}
+	h, all := w.h, len(w.h.owners) == 1 && len(w.h.events)+len(w.h.told) == 0 && even(w.h.list.conn, w.list.call)
+	for _, o := range h.owners {
+		all = all && even(o.conn, w.owner)
+	}
+	for name, m := range w.machines {
+		if on := h.machines[placer.MachineID(name)]; on != nil {
+			all = all && even(on.conn, m.call)
+		}
+	}
+	return all
+}
+
+func (w *world) entries() []link.Entry {
+	return []link.Entry{w.machines["a"].Entry, w.machines["b"].Entry}
+}
+
+// tell sends a list; a machine that just started is as old as the time since.
+func (w *world) tell(now placer.Time, whole bool, entries ...link.Entry) {
+	w.version++
+	for i := range entries {
+		if m := w.machines[entries[i].Machine]; m.born > 0 {
+			entries[i].Age = link.Span(now - m.born)
+		}
+	}
+	w.list.call.put(&link.Listed{Whole: whole, Version: w.version, Entries: entries})
+	mode := placer.Changes
+	if whole {
+		mode = placer.WholeList
+	}
+	e := placer.ListCame{Mode: mode}
+	for _, l := range entries {
+		e.Entries = append(e.Entries, w.entry(l, l.Incarnation))
+	}
+	w.judge.In(0, now, e)
+}
+
+func (w *world) entry(l link.Entry, start uint64) placer.Entry {
+	e := placer.Entry{Machine: placer.MachineID(l.Machine), Zone: l.Zone, Cell: l.Cell, State: placer.MachineState(l.State)}
+	if start > 1 {
+		e.StartedAt = w.machines[l.Machine].born
+	}
+	return e
+}
+
+// serve does what a machine owes: its greeting with what it holds, and the end of what is called off.
+func (w *world) serve(now placer.Time, m *scripted) (any bool) {
+	if any = m.accept(); any {
+		m.call.put(link.Greeting(link.Machine, m.Machine, m.start))
+		holds := &link.Holds{Incarnation: m.start}
+		for _, n := range m.bids() {
+			b := m.held[n]
+			holds.Held = append(holds.Held, b.Holding)
+			if b.as == "" {
+				w.adopted++
+				b.as = fmt.Sprint("found ", w.adopted)
+				w.judge.In(0, now, placer.TookOver{Ask: placer.Ask{ID: placer.ContainerID(b.as), Service: b.Work.Service,
+					Workload: b.Work.Workload}, Machine: placer.MachineID(m.Machine)})
+			}
+		}
+		if m.start > 1 {
+			w.judge.In(0, now, placer.ListCame{Entries: []placer.Entry{w.entry(m.Entry, m.start)}})
+		}
+		m.call.put(holds)
+	}
+	return m.call.take(func(f link.Frame) {
+		switch f := f.(type) {
+		case *link.Offer:
+			m.held[f.Bid] = &holding{link.Holding{Bid: f.Bid, Life: w.h.life, Running: true, Work: f.Work}, true, f.Work.Container}
+			w.judge.Out(0, now, placer.Bid{ID: placer.ContainerID(f.Work.Container), Machine: placer.MachineID(m.Machine)})
+		case *link.Withdraw:
+			if b := m.held[f.Bid]; b != nil {
+				delete(m.held, f.Bid)
+				w.judge.In(0, now, placer.Ended{ID: placer.ContainerID(b.as), Outcome: placer.Stopped, Over: true})
+				m.call.put(&link.Result{Bid: f.Bid, Outcome: link.Stopped})
+			}
+		case *link.Probe:
+			m.call.put(&link.Probed{Seq: f.Seq})
+		}
+	}) || any
+}
+
+func (m *scripted) bids() (all []uint64) {
+	for n := range m.held {
+		all = append(all, n)
+	}
+	slices.Sort(all)
+	return all
+}
+
+// heard judges an answer that the owner gets.
+func (w *world) heard(now placer.Time, f link.Frame) {
+	a, ok := f.(*link.Answer)
+	if !ok {
+		return
+	}
+	id := placer.ContainerID(a.Container)
+	if w.ended[a.Container] {
+		return
+	}
+	if w.answers[a.Container]++; w.answers[a.Container] > 1 {
+		w.judge.Breaks = append(w.judge.Breaks, fmt.Sprintf("rule 1: %s is answered twice", id))
+	}
+	switch a.Verdict {
+	case link.PushedBack, link.TurnedAway:
+		w.judge.Out(0, now, placer.PushBack{ID: id})
+	case link.GivenUp:
+		if a.Text != "cancelled" {
+			w.judge.Out(0, now, placer.GiveUp{ID: id})
+		}
+	}
+}
+
+// find tells where a container's bid is.
+func (w *world) find(id string, out bool) (*scripted, *holding) {
+	for _, name := range []string{"a", "b"} {
+		m := w.machines[name]
+		for _, n := range m.bids() {
+			if b := m.held[n]; b.Work.Container == id && b.out == out && m.call != nil && !m.call.closed {
+				return m, b
+			}
+		}
+	}
+	return nil, nil
+}
+
+func (w *world) possible(words []string) (all []string) {
+	for _, word := range words {
+		f := strings.Fields(word)
+		m, b := w.machines[f[len(f)-1]], (*holding)(nil)
+		if m == nil {
+			_, b = w.find(f[len(f)-1], f[0] != "over")
+		}
+		ok := b != nil
+		switch f[0] {
+		case "ask":
+			ok = w.asked < 3
+		case "cancel":
+			ok = w.asked > int(f[1][0]-'x')
+		case "break":
+			ok = m.call != nil && !m.call.closed
+		case "drain":
+			ok = m.State == link.Serving
+		case "leave":
+			ok = m.State != link.Gone
+		case "back":
+			ok = m.State != link.Serving
+		case "restart", "list":
+			ok = true
+		}
+		if ok {
+			all = append(all, word)
+		}
+	}
+	return all
+}
+
+func (w *world) do(word string) {
+	f := strings.Fields(word)
+	last, now := f[len(f)-1], w.now()
+	m := w.machines[last]
+	result := func(o link.Outcome, decided placer.Outcome) {
+		m, b := w.find(last, f[0] != "over")
+		delete(m.held, b.Bid)
+		w.judge.In(0, now, placer.Ended{ID: placer.ContainerID(b.as), Outcome: decided, Over: f[0] == "over"})
+		m.call.put(&link.Result{Bid: b.Bid, Outcome: o})
+	}
+	switch f[0] {
+	case "ask":
+		id := string(rune('x' + w.asked))
+		a := placer.Ask{ID: placer.ContainerID(id), Key: "k-" + id, Service: "s", Workload: w.asked, Cores: 1, Memory: 1, Due: now + 600*placer.Second}
+		w.asked++
+		w.judge.In(0, now, placer.Asked{Ask: a})
+		w.owner.put(&link.Submit{Left: link.Span(600 * placer.Second), Work: link.Work{Container: id, Key: a.Key, Service: a.Service,
+			Workload: a.Workload, Cores: 1, Memory: 1}})
+	case "cancel":
+		if w.answers[last] == 0 {
+			w.judge.In(0, now, placer.Vanished{ID: placer.ContainerID(last)})
+		}
+		w.ended[last] = w.answers[last] > 0 // what comes now answers the cancelling
+		w.owner.put(&link.Cancel{Container: last, Key: "k-" + last})
+	case "yes":
+		m, b := w.find(last, true)
+		b.out = false
+		w.judge.In(0, now, placer.Placed{ID: placer.ContainerID(b.as)})
+		m.call.put(&link.Yes{Bid: b.Bid, Running: true})
+	case "full":
+		result(link.Full, placer.Full)
+	case "erred":
+		result(link.Erred, placer.Erred)
+	case "over":
+		result(link.Finished, placer.Finished)
+	case "break", "restart":
+		for _, n := range m.bids() { // what waits for its answer was taken, unheard
+			if b := m.held[n]; b.out {
+				b.out = false
+				w.judge.In(0, now, placer.Ended{ID: placer.ContainerID(b.as), Outcome: placer.Reset})
+				b.as = ""
+			}
+		}
+		m.call.close()
+		if f[0] == "restart" {
+			for _, b := range m.held {
+				w.judge.In(0, now, placer.Ended{ID: placer.ContainerID(b.as), Outcome: placer.Reset, Over: true})
+			}
+			m.start, m.born = m.start+1, now
+			clear(m.held)
+			if len(f) == 2 { // else the list tells later
+				m.Incarnation, m.State = m.start, link.Serving
+				w.tell(now, false, m.Entry)
+			}
+		}
+	case "drain", "leave", "back":
+		m.State = map[string]link.State{"drain": link.Draining, "leave": link.Gone, "back": link.Serving}[f[0]]
+		w.tell(now, false, m.Entry)
+	case "list":
+		for _, m := range w.machines {
+			m.Incarnation = m.start
+		}
+		w.tell(now, true, w.entries()...)
+	}
+	w.settle()
+}
+
+// end refuses all that is out, until every container has its answer.
+func (w *world) end() {
+	for range 12 {
+		for _, id := range []string{"x", "y", "z"} {
+			if _, b := w.find(id, true); b != nil {
+				w.do("full " + id)
+			}
+		}
+	}
+	for i := range w.asked {
+		if id := string(rune('x' + i)); w.answers[id] != 1 {
+			w.judge.Breaks = append(w.judge.Breaks, fmt.Sprintf("rule 1: %s has %d answers", id, w.answers[id]))
+		}
+	}
+}
+
+// tinySite has one workload for each of the three containers.
+func tinySite(t *testing.T, workloads ...placer.Workload) *site.Placer {
+	s := terms(t)
+	s.Connect, s.Silent, s.Idle = 30*loop.Second, 600*loop.Second, 600*loop.Second
+	s.Terms.Placers, s.Terms.Me, s.Terms.Kinds = 1, 0, []placer.Kind{{Cores: 20, Memory: 20}}
+	s.Terms.ColdFor, s.Terms.ColdWindow, s.Terms.ColdBids = 1200*placer.Second, 600*placer.Second, 1
+	s.Terms.Workloads, s.Terms.ListOnAsk = nil, false
+	for _, w := range workloads {
+		w.Kind, w.Agreed, w.HardStop, w.Gain = -1, placer.Second, 600*placer.Second, 1
+		s.Terms.Workloads = append(s.Terms.Workloads, w)
+	}
+	return s
+}
+
+var once, numbered = placer.Workload{Effect: placer.AtMostOnce}, placer.Workload{Effect: placer.Numbered, Repeats: placer.OneZone, Window: 600 * placer.Second}
+var apart, apartOnce = placer.Workload{Spread: placer.OneMachine, Most: 1}, placer.Workload{Effect: placer.AtMostOnce, Spread: placer.OneMachine, Most: 1}
+
+var hostWorlds = []struct {
+	name      string
+	workloads []placer.Workload
+	words     string
+	depth     int
+}{
+	{"links that break", []placer.Workload{once, numbered, once}, "ask, yes x, full x, erred y, break a, break b, cancel x", 4},
+	{"machines that leave and come back", []placer.Workload{numbered, once, once}, "ask, full x, yes y, drain a, leave b, back b, restart late a, list", 4},
+	{"spread behind broken links", []placer.Workload{apartOnce, apart, apartOnce}, "ask, yes x, full y, break a, break b, over x, restart b", 4},
+	{"cold starts", []placer.Workload{{}, {}, {}}, "ask, full x, restart a, restart late a, restart late b, list", 4},
+}
+
+// Every order keeps all rules, with placer, custody, recovery and host as they are, over sockets.
+func TestEveryOrder(t *testing.T) {
+	for _, tc := range hostWorlds {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			n, said, breaks := tryAll(t, tinySite(t, tc.workloads...), strings.Split(tc.words, ", "), tc.depth,
+				func(d orders.Decider) orders.Decider { return d })
+			if len(breaks) > 0 {
+				t.Errorf("%s\n%s", strings.Join(said, ", "), strings.Join(breaks, "\n"))
+			}
+			t.Logf("%d orders", n)
+		})
+	}
+}
+
+func tryAll(t *testing.T, s *site.Placer, words []string, depth int, around func(orders.Decider) orders.Decider) (n int, said, breaks []string) {
+	for path := make([]int, depth); ; {
+		w := newWorld(t, s, around)
+		var widths []int
+		said = nil
+		for _, choice := range path {
+			can := w.possible(words)
+			if len(can) == 0 || len(w.judge.Breaks) > 0 {
+				break
+			}
+			widths, said = append(widths, len(can)), append(said, can[choice])
+			w.do(can[choice])
+		}
+		if len(w.judge.Breaks) == 0 {
+			w.end()
+		}
+		w.close()
+		if n++; len(w.judge.Breaks) > 0 {
+			return n, said, w.judge.Breaks
+		}
+		i := len(widths) - 1
+		for ; i >= 0 && path[i]+1 >= widths[i]; i-- {
+		}
+		if i < 0 {
+			return n, nil, nil
+		}
+		path[i]++
+		clear(path[i+1:])
+	}
+}
+
+// forgetful is the module, but for one thing that it is not told.
+type forgetful struct {
+	orders.Decider
+	rule int
+}
+
+func (f forgetful) Handle(now placer.Time, events []placer.Event) []placer.Action {
+	var kept []placer.Event
+	for _, e := range events {
+		switch e := e.(type) {
+		case placer.ListCame:
+			for i := range e.Entries {
+				if f.rule == 3 {
+					e.Entries[i].State = placer.Serving
+				}
+				if f.rule == 4 {
+					e.Entries[i].StartedAt = 0
+				}
+			}
+		case placer.TookOver:
+			if f.rule == 5 {
+				continue
+			}
+		case placer.Ended:
+			if f.rule == 2 && e.Outcome == placer.Erred {
+				e.Outcome = placer.Full
+				kept = append(kept, e)
+				continue
+			}
+		case placer.Asked:
+			if f.rule == 1 && e.ID == "y" {
+				continue
+			}
+		}
+		kept = append(kept, e)
+	}
+	return f.Decider.Handle(now, kept)
+}
+
+// What passes on the links shows each rule broken.
+func TestOrdersSeeEachRule(t *testing.T) {
+	for rule, tc := range []struct {
+		words     string
+		workloads []placer.Workload
+	}{
+		{"ask, full x", []placer.Workload{once, once, once}},
+		{"ask, erred x", []placer.Workload{once, once, once}},
+		{"ask, drain a, drain b", []placer.Workload{once, once, once}},
+		{"restart a, restart b, ask", []placer.Workload{{}, {}, {}}},
+		{"ask, break a, break b", []placer.Workload{apartOnce, apartOnce, apartOnce}},
+	} {
+		t.Run(fmt.Sprint("rule ", rule+1), func(t *testing.T) {
+			_, said, breaks := tryAll(t, tinySite(t, tc.workloads...), strings.Split(tc.words, ", "), 5,
+				func(d orders.Decider) orders.Decider { return forgetful{d, rule + 1} })
+			if len(breaks) == 0 || !strings.HasPrefix(breaks[0], fmt.Sprintf("rule %d", rule+1)) {
+				t.Errorf("after %q: %q", said, breaks)
+			}
+		})
+	}
+}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -397,6 +397,8 @@
 	ending  error // the close that follows the last byte
 	halved  bool  // the write side is to end after the last byte
 	linger  *Timer
+	read    int // bytes, so far
+	written int
 }
 
 // Dial begins a connection. The handler hears Opened or Closed, never before Dial has returned.
@@ -483,6 +485,9 @@
 // Waiting is the number of bytes yet to be written.
 func (c *Conn) Waiting() int { return len(c.out) }
 
+// Moved is the number of bytes read and written so far.
+func (c *Conn) Moved() (read, written int) { return c.read, c.written }
+
 // Behind tells whether the peer takes less than was written.
 func (c *Conn) Behind() bool { return c.waits }
 
@@ -607,6 +612,7 @@
 	case n == 0:
 		c.end(io.EOF) // the peer may still read what waits
 	default:
+		c.read += n
 		c.h.Read(c, c.l.buffer[:n])
 	}
 }
@@ -624,6 +630,7 @@
 			c.fail(fmt.Errorf("%w: %w", ErrReset, err))
 			return
 		}
+		c.written += n
 		if n < len(c.out) {
 			c.out = append(c.out[:0], c.out[n:]...)
 			c.waits = true
