Removed: start times as the module learned them; a bid's time-out is half the hard stop

Need: the time-out was the most of half the hard stop and mean plus four deviations of a workload's start times, which each placer learned, kept on disk and aged on reading. Change: StartTimes, their place in Knowledge, their kind and aging in recall are gone; a knowledge file of before is read, what it says of them is passed over. Safe: a time-out shorter than a start costs a bid and its room for a while, never a rule; the hard stop bounds it as before.

--- a/internal/recall/recall.go
+++ b/internal/recall/recall.go
@@ -24,7 +24,6 @@
 	List   Kind = iota // the machines as last heard
 	Health             // evidence that a machine is sick
 	Shuns              // evidence that one shuns a workload or customer
-	Starts             // how long a start takes
 	Traits             // what workloads and customers lose
 	Room               // how often no room is found
 	Door               // how narrow the door is
@@ -32,7 +31,7 @@
 )
 
 func (k Kind) String() string {
-	return [...]string{"list", "health", "shunning", "start times", "losses", "room", "door"}[k]
+	return [...]string{"list", "health", "shunning", "losses", "room", "door"}[k]
 }
 
 // Tuned values: knowledge of a kind counts for half as much after its half-life, and not at all from the bound on. A
@@ -42,7 +41,6 @@
 	List:   {24 * hour, 24 * hour},
 	Health: {minute, 10 * minute},
 	Shuns:  {20 * placer.Second, 2 * minute},
-	Starts: {6 * hour, 48 * hour},
 	Traits: {minute, 10 * minute},
 	Room:   {5 * placer.Second, minute},
 	Door:   {5 * placer.Second, minute},
@@ -158,18 +156,18 @@
 	switch {
 	case k.At == Stamp{}:
 	case since.Age < 0:
-		b.say("the clock went back by %d ms over a restart of the system: health and start times not believed",
+		b.say("the clock went back by %d ms over a restart of the system: health not believed",
 			(k.At.Clock-now.Clock)/placer.Millisecond)
 	default:
 		if since.Jump != 0 {
 			b.say("the clock was set by %+d ms: taken into account", since.Jump/placer.Millisecond)
 		}
 		b.weigh(since, k, machines, fits)
-		b.say("knowledge %d ms old: health counts %.2f, start times %.2f, room %.2f", since.Age/placer.Millisecond,
-			Weight(Health, since.Age), Weight(Starts, since.Age), Weight(Room, since.Age))
+		b.say("knowledge %d ms old: health counts %.2f, room %.2f", since.Age/placer.Millisecond, Weight(Health, since.Age),
+			Weight(Room, since.Age))
 	}
 	if !fits && k.At != (Stamp{}) {
-		b.say("workloads or customers are others than before: start times and losses not believed")
+		b.say("workloads or customers are others than before: losses not believed")
 	}
 	b.sent(now, k, machines, window)
 	return b
@@ -180,10 +178,7 @@
 // weigh scales evidence by its age. Times of the earlier life are told by this life's clock.
 func (b *Belief) weigh(since Since, k Kept, machines map[placer.MachineID]Machine, fits bool) {
 	weight := func(kind Kind) float64 { return Weight(kind, since.Age) }
-	if w := weight(Starts); w > 0 && fits {
-		for _, s := range k.Knowledge.Starts { // less sure, not shorter
-			b.Knowledge.Starts = append(b.Knowledge.Starts, placer.StartTimes{Mean: s.Mean, Dev: s.Dev + (1-w)*s.Mean/2})
-		}
+	if fits {
 		for _, t := range k.Knowledge.Traits {
 			b.Knowledge.Traits = append(b.Knowledge.Traits, placer.Trait{Lost: t.Lost * weight(Traits), Bar: t.Bar})
 		}
--- a/internal/recall/recall_test.go
+++ b/internal/recall/recall_test.go
@@ -21,8 +21,7 @@
 	return Kept{At: at, Names: []string{"w", "c"}, Starts: map[placer.MachineID]uint64{"m": 7},
 		Life: Life{Whole: Stamp{Clock: 950 * sec, Up: 50 * sec, Boot: "b"}},
 		Sent: []Sent{{"m", 7, []placer.Time{992 * sec, 998 * sec, 999 * sec}}},
-		Knowledge: placer.Knowledge{Starts: []placer.StartTimes{{Mean: 1000, Dev: 100}},
-			Traits: make([]placer.Trait, 3), Full: 0.8, Missed: 2,
+		Knowledge: placer.Knowledge{Traits: make([]placer.Trait, 3), Full: 0.8, Missed: 2,
 			Machines: []placer.Learned{{Machine: "m", Started: 900 * sec, Sick: 4, RestUntil: 1004 * sec, Rest: 4 * sec,
 				ShutUntil: 1003 * sec, Doubts: make([]placer.Doubt, 3)}}}}
 }
@@ -37,13 +36,13 @@
 		rest   placer.Time
 		cold   int
 		since  placer.Time // before now, of which all that was sent is known; 0: nothing
-		starts bool
+		traits bool
 		said   string
 	}{
 		{"a second later", boot(1001*sec, 101*sec), nil, 4 * math.Exp2(-1.0/60), 1004 * sec, 2, 51 * sec, true, "2 bids to cold machines"},
 		{"a minute later", boot(1060*sec, 160*sec), nil, 2, 1004 * sec, 0, 110 * sec, true, "health counts 0.50"},
 		{"so old that it is ignored", boot(1700*sec, 800*sec), nil, -1, 0, 0, 750 * sec, true, "health counts 0.00"},
-		{"two days old", boot((1000+48*3600)*sec, (100+48*3600)*sec), nil, -1, 0, 0, (50 + 48*3600) * sec, false, "start times 0.00"},
+		{"two days old", boot((1000+48*3600)*sec, (100+48*3600)*sec), nil, -1, 0, 0, (50 + 48*3600) * sec, true, "health counts 0.00"},
 		{"the clock was set forward", boot(4601*sec, 101*sec), nil, 4 * math.Exp2(-1.0/60), 4604 * sec, 2, 51 * sec, true,
 			"the clock was set by +3600000 ms"},
 		{"the clock was set back", boot(901*sec, 101*sec), nil, 4 * math.Exp2(-1.0/60), 904 * sec, 2, 51 * sec, true, "set by -100000 ms"},
@@ -87,8 +86,8 @@
 			if got := tc.now.Clock - b.Knowledge.SentSince; got != tc.since {
 				t.Errorf("sent is known for %d", got)
 			}
-			if (len(b.Knowledge.Starts) > 0) != tc.starts {
-				t.Errorf("start times %v", b.Knowledge.Starts)
+			if (len(b.Knowledge.Traits) > 0) != tc.traits {
+				t.Errorf("losses %v", b.Knowledge.Traits)
 			}
 			if said := strings.Join(b.Said, "; "); !strings.Contains(said, tc.said) {
 				t.Errorf("said %q", said)
--- a/placer/api.go
+++ b/placer/api.go
@@ -315,10 +315,9 @@
 // Knowledge is what a placer has learned and no list tells. The times are by its clock.
 type Knowledge struct {
 	Machines     []Learned
-	Starts       []StartTimes // by workload
-	Traits       []Trait      // the workloads, then the customers, then no customer
-	Full, Missed float64      // moving share of bids that found no room, and what they would have gained
-	SentSince    Time         // from then on all that was sent to cold machines is known
+	Traits       []Trait // the workloads, then the customers, then no customer
+	Full, Missed float64 // moving share of bids that found no room, and what they would have gained
+	SentSince    Time    // from then on all that was sent to cold machines is known
 }
 
 // Learned is what a placer knows of one start of a machine.
@@ -333,9 +332,6 @@
 	Cold      []Time  // when bids and probes went to it in the last window, the earliest first
 }
 
-// StartTimes follows how long a yes takes: mean and mean deviation, in tenths of a millisecond.
-type StartTimes struct{ Mean, Dev float64 }
-
 // Trait is a workload or a customer: what some machines may treat unlike the rest.
 type Trait struct {
 	Lost float64 // moving share of bids lost
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -50,10 +50,9 @@
 	order      []*machine // by id, so that equal events are decided alike
 	services   map[string]*service
 	containers map[ContainerID]*container
-	starts     []StartTimes // by workload
-	held       []float64    // cores asked by own containers, by customer
-	traits     []Trait      // the workloads, then the customers, then no customer
-	full       float64      // moving share of bids that found no room, and what they would have gained
+	held       []float64 // cores asked by own containers, by customer
+	traits     []Trait   // the workloads, then the customers, then no customer
+	full       float64   // moving share of bids that found no room, and what they would have gained
 	missed     float64
 	watchAt    Time // when the list is to be asked for again; 0: not due
 	watchPause Time
@@ -116,7 +115,7 @@
 func New(t Terms) *Placer {
 	return &Placer{terms: t, rng: pcg{t.Seed}, machines: map[MachineID]*machine{},
 		services: map[string]*service{}, containers: map[ContainerID]*container{},
-		starts: make([]StartTimes, len(t.Workloads)), held: make([]float64, len(t.Customers)),
+		held:   make([]float64, len(t.Customers)),
 		traits: make([]Trait, len(t.Workloads)+len(t.Customers)+1), began: -1}
 }
 
@@ -537,14 +536,13 @@
 	return m.sent
 }
 
-// patience is a bid's time-out: long enough for nearly every start seen of that workload; to the end where
-// nothing could follow.
+// patience is a bid's time-out: half the hard stop, to the end where nothing could follow.
 func (p *Placer) patience(c *container) Time {
-	s, left := &p.starts[c.ask.Workload], c.ask.Due-p.now
+	left := c.ask.Due - p.now
 	if c.workload.Effect == AtMostOnce || c.bids >= p.terms.MostBids {
 		return left
 	}
-	return min(left, max(c.workload.HardStop/2, Time(s.Mean+4*s.Dev)))
+	return min(left, c.workload.HardStop/2)
 }
 
 func (p *Placer) confirm(e Placed) {
@@ -557,13 +555,6 @@
 		p.full -= p.full / 32
 		p.missed -= p.missed / 32
 	}
-	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
-	if s.Mean == 0 {
-		s.Mean, s.Dev = took, took/2
-	} else {
-		s.Dev += (math.Abs(took-s.Mean) - s.Dev) / 16
-		s.Mean += (took - s.Mean) / 16
-	}
 	p.judge(c.at, false)
 	p.weigh(c, c.at, false)
 }
@@ -857,7 +848,7 @@
 
 // Knows gives what this placer has learned, to be kept for another life of it.
 func (p *Placer) Knows() Knowledge {
-	k := Knowledge{Starts: slices.Clone(p.starts), Traits: slices.Clone(p.traits), Full: p.full,
+	k := Knowledge{Traits: slices.Clone(p.traits), Full: p.full,
 		Missed: p.missed, SentSince: p.began}
 	for _, m := range p.order {
 		k.Machines = append(k.Machines, Learned{m.id, m.started, m.sick, m.restUntil, m.rest, m.shutUntil,
@@ -869,8 +860,8 @@
 // Recall takes what is believed of an earlier life, after the list as last held and before any ask.
 // What is told of another start of a machine, or does not fit the terms, is passed over.
 func (p *Placer) Recall(k Knowledge) {
-	if len(k.Starts) == len(p.starts) && len(k.Traits) == len(p.traits) {
-		p.starts, p.traits, p.full, p.missed = k.Starts, k.Traits, k.Full, k.Missed
+	if len(k.Traits) == len(p.traits) {
+		p.traits, p.full, p.missed = k.Traits, k.Full, k.Missed
 	}
 	p.began = k.SentSince
 	for _, l := range k.Machines {
