Removed: evicting machines shut for a second, and large containers' silence on a full fleet

Need: two special cases of what a machine's refusal means. A full machine leaves a container's draw by the general path, and an evicting one is refused or kept by its own answers. Change: speaks, large, evicting and shut's span are gone; the closing machine stays.

--- a/placer/api.go
+++ b/placer/api.go
@@ -300,7 +300,7 @@
 	OtherKind   int
 	Draining    int
 	TooSmall    int
-	Closing     int // on their own word: sending containers away, or evicting
+	Closing     int // on their own word: sending containers away
 	SpreadFull  int
 	ColdSpent   int
 	Resting     int // look sick
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -30,8 +30,6 @@
 	overAsked  = 0.3        // share of bids without room from which low gain yields
 	cameAgain  = 0.5        // of its gain is left to a container that came before
 	closing    = 5 * Second // a machine that closes down stays out so long after its last word of it
-	evicting   = Second     // likewise one that evicts for memory
-	large      = 3          // times the mean size
 	yieldPace  = 4          // half the gain on a fleet a quarter full yields every second time
 	sweepEvery = Second / 4
 	overdueAt  = Second / 2        // a bid so old on a machine not heard of since calls for a probe
@@ -343,17 +341,6 @@
 	return p.full > overAsked && p.rng.float() < yieldPace*p.full*(1-p.gain(c)*p.full/p.missed)
 }
 
-// speaks tells whether finding room or none for a container tells of the fleet: a large one finds none on a
-// fleet with room for many others, and counts only where nothing gains more.
-func (p *Placer) speaks(c *container) bool {
-	for _, w := range p.terms.Workloads {
-		if w.Gain > c.workload.Gain {
-			return c.ask.Cores <= large*p.terms.MeanCores && c.ask.Memory <= large*p.terms.MeanMemory
-		}
-	}
-	return true
-}
-
 // gain is what a container earns: less if it came before, as its start in time is gone, and little for what
 // its customer holds here beyond its part of all shares, measured on what this placer's own containers ask.
 func (p *Placer) gain(c *container) float64 {
@@ -551,10 +538,8 @@
 		return
 	}
 	c.placed, c.at.heardAt = true, p.now
-	if p.speaks(c) {
-		p.full -= p.full / 32
-		p.missed -= p.missed / 32
-	}
+	p.full -= p.full / 32
+	p.missed -= p.missed / 32
 	p.judge(c.at, false)
 	p.weigh(c, c.at, false)
 }
@@ -589,7 +574,7 @@
 	case c.sentAt < m.started: // it went to an earlier start, and tells nothing of this one
 	case o == Full:
 		m.heardAt = p.now
-		if (e.Reason == NoCores || e.Reason == NoMemory) && p.speaks(c) {
+		if e.Reason == NoCores || e.Reason == NoMemory {
 			p.full += (1 - p.full) / 32
 			p.missed += (p.gain(c) - p.missed) / 32
 		}
@@ -611,14 +596,11 @@
 	if e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NotSent && c.ranAt == nil {
 		c.ranAt, c.ranSince = m, c.sentAt
 	}
-	// A machine's own word comes before the list's: one that sends containers away, or is "not here" to one
-	// that stands nowhere, is closing down; one that evicts is full whatever it accepts. This also covers
-	// lists that are late or out of reach; it keeps out too long a machine that did so to one container only.
-	switch {
-	case e.Reason == SentAway || e.Reason == NotHere && c.ranAt == nil && !c.ask.Again:
-		p.shut(m, closing, "closing")
-	case e.Reason == Evicted:
-		p.shut(m, evicting, "evicting")
+	// A machine's own word comes before the list's: one that sends containers away, or is "not here" to one that stands
+	// nowhere, is closing down. This also covers lists that are late or out of reach; it keeps out too long a machine
+	// that did so to one container only.
+	if e.Reason == SentAway || e.Reason == NotHere && c.ranAt == nil && !c.ask.Again {
+		p.shut(m)
 	}
 	c.left = append(c.left, m)
 	m.leftBy++
@@ -630,12 +612,12 @@
 	return c
 }
 
-// shut keeps a machine out of every draw for a while, on its own word.
-func (p *Placer) shut(m *machine, span Time, why string) {
+// shut keeps a machine that closes down out of every draw for a while, on its own word.
+func (p *Placer) shut(m *machine) {
 	if p.now >= m.shutUntil {
-		p.log("machine %s %s: out %d ms", m.id, why, span/Millisecond)
+		p.log("machine %s closing: out %d ms", m.id, closing/Millisecond)
 	}
-	m.shutUntil = max(m.shutUntil, p.now+span)
+	m.shutUntil = p.now + closing
 }
 
 // judge is the sequential test on a machine's outcomes: each moves the log odds of its being sick, never
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -213,10 +213,6 @@
 			tookOver(p, "o1", "o", "a")
 			p.Handle(p.now, []Event{Ended{ID: "o1", Over: true, Outcome: Reset, Reason: SentAway}})
 		}, "bcd"},
-		{"evicted a container", func(p *Placer) {
-			tookOver(p, "o1", "o", "a")
-			p.Handle(p.now, []Event{Ended{ID: "o1", Over: true, Outcome: Reset, Reason: Evicted}})
-		}, "bcd"},
 		{"not here", func(p *Placer) {
 			ask(p, p.now, "o1", "o")
 			p.move("o1", "a")
@@ -427,25 +423,6 @@
 	}
 }
 
-// A large container that finds no room does not speak of a full fleet, unless nothing gains more.
-func TestFullFleet(t *testing.T) {
-	for _, tc := range []struct {
-		cores, other float64
-		full         bool
-	}{{1, 2, true}, {5, 2, false}, {5, 0.5, true}} {
-		t.Run(fmt.Sprintf("%g cores, others gain %g", tc.cores, tc.other), func(t *testing.T) {
-			tm := terms(Reissuable)
-			tm.Workloads = append(tm.Workloads, Workload{Gain: tc.other})
-			p := fleet(tm)
-			p.Handle(0, []Event{Asked{Ask{ID: "x", Service: "s", Cores: tc.cores, Memory: 1, Due: Second}}})
-			p.Handle(0, []Event{Ended{ID: "x", Outcome: Full, Reason: NoCores}})
-			if (p.full > 0) != tc.full {
-				t.Errorf("full share %.2f", p.full)
-			}
-		})
-	}
-}
-
 // A machine may leave one workload or customer unserved and serve the rest: it is lost to that one only, for
 // a while. Losses that all share, refusals with a reason and a fleet where all shun it change nothing.
 func TestShunned(t *testing.T) {
