--- a/placer/placer.go
+++ b/placer/placer.go
@@ -30,8 +30,6 @@
 	overAsked  = 0.3        // share of bids without room from which low gain yields
 	cameAgain  = 0.5        // of its gain is left to a container that came before
 	closing    = 5 * Second // a machine that closes down stays out so long after its last word of it
-	evicting   = Second     // likewise one that evicts for memory
-	large      = 3          // times the mean size
 	yieldPace  = 4          // half the gain on a fleet a quarter full yields every second time
 	sweepEvery = Second / 4
 	overdueAt  = Second / 2        // a bid so old on a machine not heard of since calls for a probe
@@ -50,10 +48,9 @@
 	order      []*machine // by id, so that equal events are decided alike
 	services   map[string]*service
 	containers map[ContainerID]*container
-	starts     []StartTimes // by workload
-	held       []float64    // cores asked by own containers, by customer
-	traits     []Trait      // the workloads, then the customers, then no customer
-	full       float64      // moving share of bids that found no room, and what they would have gained
+	held       []float64 // cores asked by own containers, by customer
+	traits     []Trait   // the workloads, then the customers, then no customer
+	full       float64   // moving share of bids that found no room, and what they would have gained
 	missed     float64
 	watchAt    Time // when the list is to be asked for again; 0: not due
 	watchPause Time
@@ -116,7 +113,7 @@
 func New(t Terms) *Placer {
 	return &Placer{terms: t, rng: pcg{t.Seed}, machines: map[MachineID]*machine{},
 		services: map[string]*service{}, containers: map[ContainerID]*container{},
-		starts: make([]StartTimes, len(t.Workloads)), held: make([]float64, len(t.Customers)),
+		held:   make([]float64, len(t.Customers)),
 		traits: make([]Trait, len(t.Workloads)+len(t.Customers)+1), began: -1}
 }
 
@@ -344,17 +341,6 @@
 	return p.full > overAsked && p.rng.float() < yieldPace*p.full*(1-p.gain(c)*p.full/p.missed)
 }
 
-// speaks tells whether finding room or none for a container tells of the fleet: a large one finds none on a
-// fleet with room for many others, and counts only where nothing gains more.
-func (p *Placer) speaks(c *container) bool {
-	for _, w := range p.terms.Workloads {
-		if w.Gain > c.workload.Gain {
-			return c.ask.Cores <= large*p.terms.MeanCores && c.ask.Memory <= large*p.terms.MeanMemory
-		}
-	}
-	return true
-}
-
 // gain is what a container earns: less if it came before, as its start in time is gone, and little for what
 // its customer holds here beyond its part of all shares, measured on what this placer's own containers ask.
 func (p *Placer) gain(c *container) float64 {
@@ -537,14 +523,13 @@
 	return m.sent
 }
 
-// patience is a bid's time-out: long enough for nearly every start seen of that workload; to the end where
-// nothing could follow.
+// patience is a bid's time-out: half the hard stop, to the end where nothing could follow.
 func (p *Placer) patience(c *container) Time {
-	s, left := &p.starts[c.ask.Workload], c.ask.Due-p.now
+	left := c.ask.Due - p.now
 	if c.workload.Effect == AtMostOnce || c.bids >= p.terms.MostBids {
 		return left
 	}
-	return min(left, max(c.workload.HardStop/2, Time(s.Mean+4*s.Dev)))
+	return min(left, c.workload.HardStop/2)
 }
 
 func (p *Placer) confirm(e Placed) {
@@ -553,17 +538,8 @@
 		return
 	}
 	c.placed, c.at.heardAt = true, p.now
-	if p.speaks(c) {
-		p.full -= p.full / 32
-		p.missed -= p.missed / 32
-	}
-	s, took := &p.starts[c.ask.Workload], float64(p.now-c.sentAt)
-	if s.Mean == 0 {
-		s.Mean, s.Dev = took, took/2
-	} else {
-		s.Dev += (math.Abs(took-s.Mean) - s.Dev) / 16
-		s.Mean += (took - s.Mean) / 16
-	}
+	p.full -= p.full / 32
+	p.missed -= p.missed / 32
 	p.judge(c.at, false)
 	p.weigh(c, c.at, false)
 }
@@ -598,7 +574,7 @@
 	case c.sentAt < m.started: // it went to an earlier start, and tells nothing of this one
 	case o == Full:
 		m.heardAt = p.now
-		if (e.Reason == NoCores || e.Reason == NoMemory) && p.speaks(c) {
+		if e.Reason == NoCores || e.Reason == NoMemory {
 			p.full += (1 - p.full) / 32
 			p.missed += (p.gain(c) - p.missed) / 32
 		}
@@ -620,14 +596,11 @@
 	if e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NotSent && c.ranAt == nil {
 		c.ranAt, c.ranSince = m, c.sentAt
 	}
-	// A machine's own word comes before the list's: one that sends containers away, or is "not here" to one
-	// that stands nowhere, is closing down; one that evicts is full whatever it accepts. This also covers
-	// lists that are late or out of reach; it keeps out too long a machine that did so to one container only.
-	switch {
-	case e.Reason == SentAway || e.Reason == NotHere && c.ranAt == nil && !c.ask.Again:
-		p.shut(m, closing, "closing")
-	case e.Reason == Evicted:
-		p.shut(m, evicting, "evicting")
+	// A machine's own word comes before the list's: one that sends containers away, or is "not here" to one that stands
+	// nowhere, is closing down. This also covers lists that are late or out of reach; it keeps out too long a machine
+	// that did so to one container only.
+	if e.Reason == SentAway || e.Reason == NotHere && c.ranAt == nil && !c.ask.Again {
+		p.shut(m)
 	}
 	c.left = append(c.left, m)
 	m.leftBy++
@@ -639,12 +612,12 @@
 	return c
 }
 
-// shut keeps a machine out of every draw for a while, on its own word.
-func (p *Placer) shut(m *machine, span Time, why string) {
+// shut keeps a machine that closes down out of every draw for a while, on its own word.
+func (p *Placer) shut(m *machine) {
 	if p.now >= m.shutUntil {
-		p.log("machine %s %s: out %d ms", m.id, why, span/Millisecond)
+		p.log("machine %s closing: out %d ms", m.id, closing/Millisecond)
 	}
-	m.shutUntil = max(m.shutUntil, p.now+span)
+	m.shutUntil = p.now + closing
 }
 
 // judge is the sequential test on a machine's outcomes: each moves the log odds of its being sick, never
@@ -857,7 +830,7 @@
 
 // Knows gives what this placer has learned, to be kept for another life of it.
 func (p *Placer) Knows() Knowledge {
-	k := Knowledge{Starts: slices.Clone(p.starts), Traits: slices.Clone(p.traits), Full: p.full,
+	k := Knowledge{Traits: slices.Clone(p.traits), Full: p.full,
 		Missed: p.missed, SentSince: p.began}
 	for _, m := range p.order {
 		k.Machines = append(k.Machines, Learned{m.id, m.started, m.sick, m.restUntil, m.rest, m.shutUntil,
@@ -869,8 +842,8 @@
 // Recall takes what is believed of an earlier life, after the list as last held and before any ask.
 // What is told of another start of a machine, or does not fit the terms, is passed over.
 func (p *Placer) Recall(k Knowledge) {
-	if len(k.Starts) == len(p.starts) && len(k.Traits) == len(p.traits) {
-		p.starts, p.traits, p.full, p.missed = k.Starts, k.Traits, k.Full, k.Missed
+	if len(k.Traits) == len(p.traits) {
+		p.traits, p.full, p.missed = k.Traits, k.Full, k.Missed
 	}
 	p.began = k.SentSince
 	for _, l := range k.Machines {
