Removed: moving containers and messages between placers, which nothing asked for

Need: Move, Tell and Heard were carried out by the host, the codec, the door and the settings (peers), and the module asks for neither. Every rule is kept by a placer alone, and a frame that any caller may send was open at the door for nothing. Safe: no code path emitted them; frame 19 now ends the link as an unknown sort does (TestFaults).

--- a/internal/host/door.go
+++ b/internal/host/door.go
@@ -125,8 +125,6 @@
 		o.write(h.routesFor(f.Service))
 	case *link.AskStatus:
 		o.write(h.status())
-	case *link.Message:
-		h.feed(placer.Heard{From: f.From, Data: f.Data})
 	case *link.Beat:
 	case *link.Bye:
 		o.drop("good bye")
@@ -236,43 +234,3 @@
 	}
 	h.close(c)
 }
-
-// peer is a link to another placer's door, for messages.
-type peer struct {
-	h      *Host
-	number int
-	conn   *loop.Conn
-	reader link.Reader
-}
-
-func (h *Host) pass(a placer.Tell) {
-	for i, addr := range h.site.Peers {
-		if i == h.site.Terms.Me || a.To >= 0 && a.To != i {
-			continue
-		}
-		p := h.peers[i]
-		if p == nil {
-			p = &peer{h: h, number: i}
-			h.peers[i] = p
-			p.conn = h.loop.Dial(addr, p, h.site.Output, h.site.Connect)
-			p.write(link.Greeting(link.Placer, h.site.Name, h.life))
-		}
-		p.write(&link.Message{From: h.site.Terms.Me, Data: a.Data})
-	}
-}
-
-// write sends a frame, or loses it where the peer takes too little: messages may be lost.
-func (p *peer) write(f link.Frame) {
-	if b, err := p.h.frame(f); err == nil {
-		p.conn.Write(b)
-	}
-}
-
-func (p *peer) Opened(*loop.Conn) {}
-func (p *peer) Read(c *loop.Conn, b []byte) {
-	if err := p.reader.Feed(b, func(link.Frame) error { return nil }); err != nil {
-		p.h.badLink(fmt.Sprint("placer ", p.number), err)
-		c.Close()
-	}
-}
-func (p *peer) Closed(*loop.Conn, error) { delete(p.h.peers, p.number) }
--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -50,7 +50,6 @@
 	asking    map[placer.ContainerID]time.Duration // when submissions of this turn came
 	scratch   []byte
 	owners    map[custody.Caller]*owner // until their link ends
-	peers     map[int]*peer             // until their link ends
 	list      listLink
 	routes    *speaker.Speaker // nil where no address is announced
 	state     *state           // nil where nothing is kept
@@ -98,7 +97,7 @@
 func New(s *site.Placer, d Decider, log *slog.Logger) (*Host, error) {
 	h := &Host{site: s, life: uint64(time.Now().UnixMicro()), log: log, decider: d,
 		open: map[placer.ContainerID]*container{}, machines: map[placer.MachineID]*machine{},
-		asking: map[placer.ContainerID]time.Duration{}, owners: map[custody.Caller]*owner{}, peers: map[int]*peer{},
+		asking: map[placer.ContainerID]time.Duration{}, owners: map[custody.Caller]*owner{},
 		tookOver: map[string]int{}}
 	h.lastBid = h.life // bid numbers are unique over all lives
 	var effects []placer.Effect
@@ -276,10 +275,6 @@
 			h.callOff(c.bid)
 			h.over(c.bid, placer.Ended{Outcome: placer.Stopped, Over: c.answered})
 		}
-	case placer.Move:
-		if c := h.open[a.ID]; c != nil && c.bid != nil && c.bid.placed {
-			h.callOff(c.bid)
-		}
 	case placer.Probe:
 		h.probe(a.Machine)
 	case placer.Disconnect:
@@ -288,8 +283,6 @@
 		}
 	case placer.Wake:
 		h.loop.After(loop.Tick(a.After), func() { h.feed(placer.Woke{Name: a.Name}) })
-	case placer.Tell:
-		h.pass(a)
 	case placer.Watch:
 		h.watch(&link.Watch{On: a.On, Since: h.list.version})
 	case placer.Fetch:
--- a/internal/link/frames.go
+++ b/internal/link/frames.go
@@ -281,13 +281,6 @@
 		Reason    Reason
 	}
 
-	// Message passes bytes from one placer to another.
-	Message struct {
-		_    struct{} `cbor:",toarray"`
-		From int
-		Data []byte
-	}
-
 	AskStatus struct {
 		_ struct{} `cbor:",toarray"`
 	}
@@ -393,7 +386,7 @@
 	13: func() Frame { return new(Failed) }, 14: func() Frame { return new(Beat) },
 	15: func() Frame { return new(Submit) }, 16: func() Frame { return new(Cancel) },
 	17: func() Frame { return new(Answer) }, 18: func() Frame { return new(Fate) },
-	19: func() Frame { return new(Message) }, 20: func() Frame { return new(AskStatus) },
+	20: func() Frame { return new(AskStatus) },
 	21: func() Frame { return new(Status) }, 22: func() Frame { return new(Bye) },
 	23: func() Frame { return new(AskWhy) }, 24: func() Frame { return new(Why) },
 	25: func() Frame { return new(AskRoutes) }, 26: func() Frame { return new(Routes) },
@@ -418,7 +411,6 @@
 func (*Cancel) sort() byte    { return 16 }
 func (*Answer) sort() byte    { return 17 }
 func (*Fate) sort() byte      { return 18 }
-func (*Message) sort() byte   { return 19 }
 func (*AskStatus) sort() byte { return 20 }
 func (*Status) sort() byte    { return 21 }
 func (*Bye) sort() byte       { return 22 }
@@ -634,12 +626,6 @@
 	return c.fault
 }
 
-func (f *Message) check() error {
-	var c checker
-	c.count("from", f.From)
-	return c.fault
-}
-
 func (f *Status) check() error {
 	var c checker
 	for _, g := range f.Figures {
--- a/placer/api.go
+++ b/placer/api.go
@@ -219,13 +219,9 @@
 	Report  Report
 }
 
-// Woke is a timer; Heard a message of another placer; Vanished ends a container from outside.
+// Woke is a timer; Vanished ends a container from outside.
 type (
-	Woke  struct{ Name string }
-	Heard struct {
-		From int
-		Data []byte
-	}
+	Woke     struct{ Name string }
 	Vanished struct{ ID ContainerID }
 )
 
@@ -237,7 +233,6 @@
 func (Ended) event()    {}
 func (Probed) event()   {}
 func (Woke) event()     {}
-func (Heard) event()    {}
 func (Vanished) event() {}
 
 // Action is something a placer wants done.
@@ -261,8 +256,6 @@
 		ID  ContainerID
 		Bid int
 	}
-	// Move stops a running container, to be placed anew.
-	Move  struct{ ID ContainerID }
 	Probe struct{ Machine MachineID }
 	// Disconnect closes idle connections.
 	Disconnect struct{ Machine MachineID }
@@ -270,11 +263,6 @@
 		After Time
 		Name  string
 	}
-	// Tell sends bytes to a placer, or to all with To -1.
-	Tell struct {
-		To   int
-		Data []byte
-	}
 	Watch struct{ On bool }
 	Fetch struct{}
 	Log   struct{ Text string }
@@ -284,11 +272,9 @@
 func (PushBack) action()   {}
 func (GiveUp) action()     {}
 func (Withdraw) action()   {}
-func (Move) action()       {}
 func (Probe) action()      {}
 func (Disconnect) action() {}
 func (Wake) action()       {}
-func (Tell) action()       {}
 func (Watch) action()      {}
 func (Fetch) action()      {}
 func (Log) action()        {}
