--- a/internal/host/machine.go
+++ b/internal/host/machine.go
@@ -187,10 +187,11 @@
 		return
 	}
 	for _, b := range append([]*bid(nil), m.waiting...) {
+		stale := b.stale() // asked before it is forgotten: what was taken over is, with the last that waits
 		if b.unkept || !m.forgetWaiting(b) {
 			continue
 		}
-		if b.stale() {
+		if stale {
 			m.h.notSent(b)
 		} else {
 			m.offer(b)
--- a/internal/host/waiting_test.go
+++ b/internal/host/waiting_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"testing"
 
+	"glenport/internal/custody"
 	"glenport/internal/link"
 	"glenport/internal/loop"
 	"glenport/placer"
@@ -51,6 +52,7 @@
 		{"it is gone", &link.Entry{Machine: "a", State: link.Gone, Incarnation: 1, Age: -1}, 1, false},
 		{"it has started anew, says the list", &link.Entry{Machine: "a", Incarnation: 2, Age: 100}, 2, false},
 		{"it has started anew, says its greeting", nil, 2, false},
+		{"its service runs elsewhere, another machine says", &link.Entry{Machine: "b"}, 1, false},
 		{"the list is older than its greeting", &link.Entry{Machine: "a", Incarnation: 1, Age: -1}, 2, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -60,7 +62,15 @@
 			r := start(t, s, bidTo(0), map[string]string{"a": addr})
 			r.door.submit("x", 0)
 			until(t, func() bool { return on1(r.h, func() bool { return len(r.h.machines["a"].waiting) > 0 }) })
-			if tc.change != nil {
+			if tc.change != nil && tc.change.Machine == "b" { // it holds what an earlier life of the placer began
+				on1(r.h, func() bool {
+					r.h.learn(placer.Changes, 2, []link.Entry{{Machine: "b", Addr: "127.0.0.1:1", Incarnation: 1, Age: -1}})
+					r.h.tell(custody.Holds{Machine: "b", Held: []custody.Held{{Machine: "b", Life: 1, Bid: 1, Running: true,
+						Ask: placer.Ask{ID: "o", Key: "k-o", Service: "s"}}}})
+					return true
+				})
+				await[placer.TookOver](r, nil)
+			} else if tc.change != nil {
 				on1(r.h, func() bool {
 					tc.change.Addr = addr
 					r.h.learn(placer.Changes, 2, []link.Entry{*tc.change})
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -295,6 +295,10 @@
 	if err := wait(t, turned); !errors.Is(err, syscall.EMFILE) {
 		t.Errorf("turned away by %v", err)
 	}
+	syscall.SetsockoptTimeval(caller, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &syscall.Timeval{Sec: 20})
+	if n, err := syscall.Read(caller, make([]byte, 1)); n > 0 || err == syscall.EAGAIN { // the spare's use: it does not wait unheard
+		t.Errorf("the caller turned away reads %d bytes, %v", n, err)
+	}
 	for _, c := range []net.Conn{first, second} {
 		c.Write([]byte("x"))
 		if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
