The sabotage of rule 3 takes draining machines in turn

Seen: the audit's sabotage of rule 3 went unseen: it bid to the first draining machine by name, whose link was broken by another trouble, and the host now hands back what waits for a link to a machine that drains. Ruled out: the audit (it sees the same offers by any other link). Change: each draining machine in turn.

--- a/internal/sabotage/sabotage.go
+++ b/internal/sabotage/sabotage.go
@@ -76,7 +76,10 @@
 				bid.MaxWait = 5 * placer.Millisecond // no yes comes so soon
 			}
 		case 3:
-			to, found = b.other("", func(m placer.Entry) bool { return m.State == placer.Draining })
+			// Each in turn: what waits for the link of one that cannot be reached the host does not send.
+			if all := b.fitting("", func(m placer.Entry) bool { return m.State == placer.Draining }); len(all) > 0 {
+				to, found = all[b.asks%len(all)], true
+			}
 		case 4:
 			to, found = b.other("", func(m placer.Entry) bool {
 				return m.State == placer.Serving && m.StartedAt > 0 && now < m.StartedAt+b.terms.ColdFor
@@ -101,6 +104,13 @@
 
 // other is the first machine, by name, that fits and is not the one given.
 func (b *Breaker) other(than placer.MachineID, fits func(placer.Entry) bool) (placer.MachineID, bool) {
+	if all := b.fitting(than, fits); len(all) > 0 {
+		return all[0], true
+	}
+	return "", false
+}
+
+func (b *Breaker) fitting(than placer.MachineID, fits func(placer.Entry) bool) []placer.MachineID {
 	var all []placer.MachineID
 	for id, m := range b.machines {
 		if id != than && fits(m) {
@@ -108,8 +118,5 @@
 		}
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i] < all[j] })
-	if len(all) == 0 {
-		return "", false
-	}
-	return all[0], true
+	return all
 }
