--- a/internal/keeper/keeper_test.go
+++ b/internal/keeper/keeper_test.go
@@ -507,6 +507,7 @@
 				switch a := a.(type) {
 				case Look:
 					if _, there := runs[a.Door][a.Key]; there && open[a.Door] {
+						runs[a.Door][a.Key] = a.Ask // who asked last hears its fate
 						do(Answered{Ask: a.Ask, Verdict: Placed, Machine: "m"})
 					} else if open[a.Door] && chance(3, "not sure yet") {
 						do(Answered{Ask: a.Ask, Verdict: TurnedAway})
