One way to try all paths, one breaker and one word for callers turned away

The walk over all paths stood in orders and in the host's test; two wrappers broke the same rules; door and speaker logged the same two lines; outcomes were listed twice in the enumerator, which kept a time nobody read. The speaker's line has its connections now too. Behaviour and assertions are as before.

--- a/internal/host/host.go
+++ b/internal/host/host.go
@@ -127,13 +127,7 @@
 		h.routes = speaker.New(h.loop, *s.BGP, log)
 	}
 	h.loop.OnFlushed(func() { h.meter.flushed(h.loop.Clock()) })
-	if h.door, err = h.loop.Listen(s.Door, h.accept, func(why error) {
-		if why != nil {
-			h.log.Warn("callers turned away", "why", why, "connections", h.loop.Conns())
-		} else {
-			h.log.Info("callers taken again", "connections", h.loop.Conns())
-		}
-	}); err != nil {
+	if h.door, err = h.loop.Listen(s.Door, h.accept, h.loop.Telling(log, "callers")); err != nil {
 		h.loop.Stop()
 		h.loop.Run()
 		h.closeState()
--- a/internal/host/orders_test.go
+++ b/internal/host/orders_test.go
@@ -484,9 +484,9 @@
 }
 
 func tryAll(t *testing.T, s *site.Placer, words []string, depth int, around func(orders.Decider) orders.Decider) (n int, said, breaks []string) {
-	for path := make([]int, depth); ; {
+	orders.Each(depth, func(path []int) (widths []int, on bool) {
 		w := newWorld(t, s, around)
-		var widths []int
+		defer w.close()
 		said = nil
 		for _, choice := range path {
 			can := w.possible(words)
@@ -499,58 +499,10 @@
 		if len(w.judge.Breaks) == 0 {
 			w.end()
 		}
-		w.close()
-		if n++; len(w.judge.Breaks) > 0 {
-			return n, said, w.judge.Breaks
-		}
-		i := len(widths) - 1
-		for ; i >= 0 && path[i]+1 >= widths[i]; i-- {
-		}
-		if i < 0 {
-			return n, nil, nil
-		}
-		path[i]++
-		clear(path[i+1:])
-	}
-}
-
-// forgetful is the module, but for one thing that it is not told.
-type forgetful struct {
-	orders.Decider
-	rule int
-}
-
-func (f forgetful) Handle(now placer.Time, events []placer.Event) []placer.Action {
-	var kept []placer.Event
-	for _, e := range events {
-		switch e := e.(type) {
-		case placer.ListCame:
-			for i := range e.Entries {
-				if f.rule == 3 {
-					e.Entries[i].State = placer.Serving
-				}
-				if f.rule == 4 {
-					e.Entries[i].StartedAt = 0
-				}
-			}
-		case placer.TookOver:
-			if f.rule == 5 {
-				continue
-			}
-		case placer.Ended:
-			if f.rule == 2 && e.Outcome == placer.Erred {
-				e.Outcome = placer.Full
-				kept = append(kept, e)
-				continue
-			}
-		case placer.Asked:
-			if f.rule == 1 && e.ID == "y" {
-				continue
-			}
-		}
-		kept = append(kept, e)
-	}
-	return f.Decider.Handle(now, kept)
+		n, breaks = n+1, w.judge.Breaks
+		return widths, len(breaks) == 0
+	})
+	return n, said, breaks
 }
 
 // What passes on the links shows each rule broken.
@@ -567,7 +519,7 @@
 	} {
 		t.Run(fmt.Sprint("rule ", rule+1), func(t *testing.T) {
 			_, said, breaks := tryAll(t, tinySite(t, tc.workloads...), strings.Split(tc.words, ", "), 5,
-				func(d orders.Decider) orders.Decider { return forgetful{d, rule + 1} })
+				func(d orders.Decider) orders.Decider { return orders.Breaker{Decider: d, Rule: rule + 1} })
 			if len(breaks) == 0 || !strings.HasPrefix(breaks[0], fmt.Sprintf("rule %d", rule+1)) {
 				t.Errorf("after %q: %q", said, breaks)
 			}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net/netip"
 	"sync"
 	"time"
@@ -373,6 +374,17 @@
 	unix.EpollCtl(s.l.epoll, unix.EPOLL_CTL_MOD, s.fd, &unix.EpollEvent{Events: events, Fd: int32(s.fd)})
 }
 
+// Telling logs when callers, named by their sort, are turned away and when they are taken again.
+func (l *Loop) Telling(log *slog.Logger, callers string) func(error) {
+	return func(why error) {
+		if why != nil {
+			log.Warn(callers+" turned away", "why", why, "connections", l.conns)
+		} else {
+			log.Info(callers+" taken again", "connections", l.conns)
+		}
+	}
+}
+
 // tell says when callers are turned away, and when they are taken again.
 func (s *Listener) tell(why error) {
 	if s.away != (why != nil) {
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -44,6 +44,9 @@
 	name string
 }
 
+var outcomes = map[string]placer.Outcome{"full": placer.Full, "timeout": placer.TimedOut, "reset": placer.Reset, "erred": placer.Erred,
+	"unsent": placer.NotSent, "over": placer.Finished, "lost": placer.Reset, "crossed": placer.Stopped}
+
 const probe = "probe " // before the machine, as the name of a timer
 
 // out is a container's bid, or where it runs.
@@ -51,7 +54,6 @@
 	placer int
 	to     placer.MachineID
 	runs   bool
-	until  placer.Time
 	ask    placer.Ask
 }
 
@@ -65,7 +67,7 @@
 // Run tries every order of up to depth events. It stops at the first that breaks a rule.
 func Run(w World, depth int) Result {
 	var r Result
-	for path := make([]int, depth); ; {
+	Each(depth, func(path []int) ([]int, bool) {
 		one := w
 		widths, said, breaks := one.play(path)
 		r.Orders++
@@ -73,13 +75,22 @@
 		r.Bids += one.judge.checked
 		if len(breaks) > 0 {
 			r.Broken, r.Rules = strings.Join(said, ", "), breaks
-			return r
 		}
+		return widths, len(breaks) == 0
+	})
+	return r
+}
+
+// Each has every path of up to depth choices played, until play says that it is enough. play returns how many choices
+// there were at each turn.
+func Each(depth int, play func(path []int) (widths []int, on bool)) {
+	for path := make([]int, depth); ; {
+		widths, on := play(path)
 		i := len(widths) - 1
 		for ; i >= 0 && path[i]+1 >= widths[i]; i-- {
 		}
-		if i < 0 {
-			return r
+		if !on || i < 0 {
+			return
 		}
 		path[i]++
 		clear(path[i+1:])
@@ -151,9 +162,7 @@
 		switch m := w.fleet[placer.MachineID(f[len(f)-1])]; f[0] {
 		case "ask":
 			ok = w.ask < len(w.Asks)
-		case "yes":
-			ok = w.at[placer.ContainerID(f[1])] != nil && !w.at[placer.ContainerID(f[1])].runs
-		case "full", "timeout", "reset", "unsent", "erred":
+		case "yes", "full", "timeout", "reset", "unsent", "erred":
 			ok = w.at[placer.ContainerID(f[1])] != nil && !w.at[placer.ContainerID(f[1])].runs
 		case "over", "lost", "crossed":
 			ok = w.at[placer.ContainerID(f[1])] != nil && w.at[placer.ContainerID(f[1])].runs
@@ -201,12 +210,6 @@
 		w.version++
 		all(placer.ListCame{Mode: mode, Version: w.version, Entries: entries})
 	}
-	ended := func(o placer.Outcome, over bool) {
-		if at := w.at[id]; at != nil {
-			delete(w.at, id)
-			w.bring(at.placer, placer.Ended{ID: id, Outcome: o, Machine: at.to, Over: over}, hold)
-		}
-	}
 	switch f[0] {
 	case "ask":
 		a := w.Asks[w.ask]
@@ -221,22 +224,11 @@
 			at.runs = true
 			w.bring(at.placer, placer.Placed{ID: id, Machine: at.to}, hold)
 		}
-	case "full":
-		ended(placer.Full, false)
-	case "timeout":
-		ended(placer.TimedOut, false)
-	case "reset":
-		ended(placer.Reset, false)
-	case "erred":
-		ended(placer.Erred, false)
-	case "unsent":
-		ended(placer.NotSent, false)
-	case "over":
-		ended(placer.Finished, true)
-	case "lost":
-		ended(placer.Reset, true)
-	case "crossed":
-		ended(placer.Stopped, false)
+	case "full", "timeout", "reset", "erred", "unsent", "over", "lost", "crossed":
+		if at := w.at[id]; at != nil {
+			delete(w.at, id)
+			w.bring(at.placer, placer.Ended{ID: id, Outcome: outcomes[f[0]], Machine: at.to, Over: f[0] == "over" || f[0] == "lost"}, hold)
+		}
 	case "withdraw":
 		if at := w.at[id]; at != nil {
 			w.bring(at.placer, placer.Vanished{ID: id}, hold)
@@ -319,13 +311,8 @@
 		w.judge.Out(who, w.now, a)
 		switch a := a.(type) {
 		case placer.Bid:
-			c := w.judge.lives[who].containers[a.ID]
-			until := w.now + a.MaxWait
-			if a.MaxWait == 0 && c != nil {
-				until = c.ask.Due
-			}
-			w.at[a.ID] = &out{placer: who, to: a.Machine, until: until}
-			if c != nil {
+			w.at[a.ID] = &out{placer: who, to: a.Machine}
+			if c := w.judge.lives[who].containers[a.ID]; c != nil {
 				w.at[a.ID].ask = c.ask
 			}
 		case placer.Probe:
--- a/internal/orders/orders_test.go
+++ b/internal/orders/orders_test.go
@@ -39,7 +39,7 @@
 	return w
 }
 
-// pair has two machines in two halls and two placers, and one of the machines has just started.
+// pair has two placers and one machine.
 func pair() World {
 	w := tiny()
 	w.Placers, w.Fleet = 2, []placer.Entry{w.Fleet[0]}
@@ -83,47 +83,6 @@
 	}
 }
 
-// breaker is a placer that breaks one rule.
-type breaker struct {
-	Decider
-	rule int
-}
-
-func (b *breaker) Handle(now placer.Time, events []placer.Event) []placer.Action {
-	var kept []placer.Event
-	for _, e := range events {
-		switch e := e.(type) {
-		case placer.ListCame:
-			if b.rule == 3 && e.Mode == placer.Changes { // a drain is not heard
-				continue
-			}
-			if b.rule == 4 { // nor a start
-				for i := range e.Entries {
-					e.Entries[i].StartedAt = 0
-				}
-			}
-		case placer.TookOver:
-			if b.rule == 5 { // what runs is forgotten
-				continue
-			}
-		case placer.Ended:
-			if b.rule == 2 && e.Outcome == placer.TimedOut { // what may have run is taken for refused
-				e.Outcome = placer.Full
-				kept = append(kept, e)
-				continue
-			}
-		}
-		kept = append(kept, e)
-	}
-	actions := b.Decider.Handle(now, kept)
-	for i, a := range actions {
-		if _, answers := a.(placer.PushBack); answers && b.rule == 1 {
-			return append(actions[:i:i], actions[i+1:]...)
-		}
-	}
-	return actions
-}
-
 // The judge sees each rule broken, and the order that it prints breaks the rule again when it is pasted.
 func TestJudgeSeesEachRule(t *testing.T) {
 	for rule, world := range []World{
@@ -134,7 +93,7 @@
 		tiny().asking(3, 3).of("found a, found c, ask"),
 	} {
 		t.Run(fmt.Sprint("rule ", rule+1), func(t *testing.T) {
-			world.Make = func(t placer.Terms) Decider { return &breaker{Decider: placer.New(t), rule: rule + 1} }
+			world.Make = func(t placer.Terms) Decider { return Breaker{placer.New(t), rule + 1} }
 			r := Run(world, 6)
 			want := fmt.Sprintf("rule %d: ", rule+1)
 			if len(r.Rules) == 0 || !strings.HasPrefix(r.Rules[0], want) {
--- a/internal/speaker/speaker.go
+++ b/internal/speaker/speaker.go
@@ -105,13 +105,7 @@
 	if s.place.Listen != "" {
 		var err error
 		if s.listener, err = s.loop.Listen(s.place.Listen, func() (loop.Handler, int) { return &wire{called: true, p: &peer{s: s}}, output },
-			func(why error) {
-				if why != nil {
-					s.log.Warn("BGP callers turned away", "why", why)
-				} else {
-					s.log.Info("BGP callers taken again")
-				}
-			}); err != nil {
+			s.loop.Telling(s.log, "BGP callers")); err != nil {
 			return err
 		}
 		for _, p := range s.peers {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -120,7 +120,7 @@
 // Handle takes what happened by now and returns what is to be done.
 func (p *Placer) Handle(now Time, events []Event) []Action {
 	p.now, p.out = now, nil
-	var due []*container // to be placed once all that came is known: what is found running counts before any bid
+	var due []*container // placed once all that came is known: what is found running counts before any bid
 	woke := false
 	if p.began < 0 {
 		p.began = now
@@ -229,7 +229,8 @@
 		if m.started != l.StartedAt || !m.listed {
 			m.started, m.sick, m.restUntil, m.rest, m.shutUntil = l.StartedAt, 0, 0, restAtFirst, 0
 			clear(m.doubts)
-			for len(m.sent) > 0 && m.sent[0] < l.StartedAt-p.terms.ColdWindow/8 { // the rest may have reached this start
+			// What was sent from just before it on may have reached this start.
+			for len(m.sent) > 0 && m.sent[0] < l.StartedAt-p.terms.ColdWindow/8 {
 				m.sent = m.sent[1:]
 			}
 		}
@@ -241,8 +242,8 @@
 	p.letGo()
 }
 
-// letGo drops machines that are gone once nothing speaks of them: no container that is held there or left them, no
-// send that would count if they came back with the same start.
+// letGo drops machines that are gone once nothing speaks of them: no container that is held there or left
+// them, no send that would count if they came back with the same start.
 func (p *Placer) letGo() {
 	for i := len(p.order) - 1; i >= 0; i-- {
 		if m := p.order[i]; m.state == Gone && m.held+m.leftBy == 0 && len(p.recent(m)) == 0 {
@@ -512,8 +513,8 @@
 	return p.now >= p.began+p.window() && len(p.recent(m)) < part
 }
 
-// window is the cold one and an eighth for the way. What is sent counts in it whether or not the machine is known to be
-// cold: it may have started since, unheard of.
+// window is the cold one and an eighth for the way. What is sent counts in it whether or not the machine is
+// known to be cold: it may have started since, unheard of.
 func (p *Placer) window() Time { return p.terms.ColdWindow + p.terms.ColdWindow/8 }
 
 func (p *Placer) recent(m *machine) []Time {
@@ -596,9 +597,9 @@
 	if e.Outcome != Full && e.Outcome != NoConnect && e.Outcome != NotSent && c.ranAt == nil {
 		c.ranAt, c.ranSince = m, c.sentAt
 	}
-	// A machine's own word comes before the list's: one that sends containers away, or is "not here" to one that stands
-	// nowhere, is closing down. This also covers lists that are late or out of reach; it keeps out too long a machine
-	// that did so to one container only.
+	// A machine's own word comes before the list's: one that sends containers away, or is "not here" to one
+	// that stands nowhere, is closing down. This also covers lists that are late or out of reach; it keeps
+	// out too long a machine that did so to one container only.
 	if e.Reason == SentAway || e.Reason == NotHere && c.ranAt == nil && !c.ask.Again {
 		p.shut(m)
 	}
