--- a/cmd/glenport/main.go
+++ b/cmd/glenport/main.go
@@ -23,7 +23,7 @@
 	root := &cobra.Command{Use: "glenport", Short: "Place long-running work on the machines of a cluster",
 		SilenceUsage: true, SilenceErrors: true}
 	root.AddCommand(placerCommand(), keeperCommand(), checkCommand(), submitCommand(), statusCommand(), jobCommand(), whyCommand(),
-		machinesCommand(), bgpCommand(), stateCommand())
+		machinesCommand(), bgpCommand(), stateCommand(), platformCommand())
 	if err := root.Execute(); err != nil {
 		var code exitCode
 		if errors.As(err, &code) {
--- /dev/null
+++ b/cmd/glenport/platform.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"errors"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"glenport/internal/platform"
+	"glenport/placer"
+
+	"github.com/spf13/cobra"
+)
+
+const (
+	deploymentFile = "ROUTER_CONFIG" // names the file that the platform writes
+	heapShare      = 0.6             // of the memory that a placer may have
+)
+
+func platformCommand() *cobra.Command {
+	var file string
+	var trace bool
+	c := &cobra.Command{Use: "platform", Short: "Run one placer behind the platform's protocol", Args: cobra.NoArgs,
+		RunE: func(*cobra.Command, []string) error {
+			if file == "" {
+				return errors.New("neither --config nor " + deploymentFile + " names a file")
+			}
+			d, err := platform.Load(file)
+			if err != nil {
+				return err
+			}
+			runtime.GOMAXPROCS(1)
+			debug.SetMemoryLimit(int64(heapShare * float64(d.MemoryMB<<20)))
+			log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+			p, err := platform.New(d, placer.New(d.Terms), log, trace)
+			if err != nil {
+				return err
+			}
+			told := make(chan os.Signal, 4)
+			signal.Notify(told, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+			go func() {
+				for s := range told {
+					if s != syscall.SIGHUP {
+						p.Leave()
+					} else if d, err := platform.Load(file); err != nil {
+						log.Error("the new file is not used", "why", err)
+					} else {
+						p.Renew(d)
+					}
+				}
+			}()
+			runtime.LockOSThread()
+			return p.Run()
+		}}
+	c.Flags().StringVarP(&file, "config", "c", os.Getenv(deploymentFile), "the platform's file")
+	c.Flags().BoolVar(&trace, "trace", false, "log every message")
+	return c
+}
--- /dev/null
+++ b/internal/platform/bus.go
@@ -0,0 +1,112 @@
+package platform
+
+import (
+	"bytes"
+	"fmt"
+	"strconv"
+
+	"glenport/internal/jsonline"
+	"glenport/internal/loop"
+	"glenport/placer"
+)
+
+const (
+	longestEvent = 4 << 20
+	busSilentFor = 2 * loop.Second // twice the span in which a line is due
+	busAgain     = loop.Second / 5
+)
+
+// bus follows the event bus, one connection at a time.
+type bus struct {
+	p       *Platform
+	addr    string
+	conn    *loop.Conn
+	lines   jsonline.Lines
+	last    int64 // number of the last event that was taken in
+	heardAt loop.Tick
+	broken  bool
+}
+
+func (s *bus) reach() {
+	s.lines = jsonline.Lines{Most: longestEvent}
+	s.heardAt = s.p.loop.Now()
+	s.conn = s.p.loop.Dial(s.addr, s, 1<<10, loop.Second)
+}
+
+// move goes on at another address.
+func (s *bus) move(addr string) {
+	if addr == s.addr {
+		return
+	}
+	s.p.log.Info("event bus moves", "to", addr, "last", s.last)
+	s.addr = addr
+	if c := s.conn; c != nil {
+		s.conn = nil
+		c.Reset()
+	}
+	s.reach()
+}
+
+func (s *bus) Opened(c *loop.Conn) {
+	if c == s.conn {
+		c.Write(fmt.Appendf(nil, "from %d\n", s.last))
+	}
+}
+
+func (s *bus) Read(c *loop.Conn, b []byte) {
+	if c != s.conn {
+		return
+	}
+	s.heardAt = s.p.loop.Now()
+	if err := s.lines.Feed(b, s.line); err != nil {
+		s.p.log.Warn("event bus left", "why", err, "last", s.last)
+		c.Reset()
+	}
+}
+
+func (s *bus) Closed(c *loop.Conn, why error) {
+	if c != s.conn {
+		return
+	}
+	s.conn = nil
+	if !s.broken {
+		s.broken = true
+		s.p.log.Warn("event bus broken off", "why", why, "last", s.last)
+	}
+	s.p.loop.After(busAgain, func() {
+		if s.conn == nil {
+			s.reach()
+		}
+	})
+}
+
+func (s *bus) house(now loop.Tick) {
+	if s.conn != nil && now-s.heardAt > busSilentFor {
+		s.conn.Reset()
+	}
+}
+
+// line takes in an event or the number of the last one. Events known already come again after a break.
+func (s *bus) line(line []byte) error {
+	if s.broken {
+		s.broken = false
+		s.p.log.Info("event bus followed", "last", s.last)
+	}
+	line = bytes.TrimSpace(line)
+	if n, err := strconv.ParseInt(string(line), 10, 64); err == nil {
+		if n > s.last {
+			return fmt.Errorf("event %d is missing", s.last+1)
+		}
+		return nil
+	}
+	e, err := s.p.d.readEvent(line)
+	if err != nil {
+		return err
+	}
+	if e.number <= s.last {
+		return nil
+	}
+	s.last = e.number
+	s.p.learn(placer.Changes, e)
+	return nil
+}
--- /dev/null
+++ b/internal/platform/deployment.go
@@ -0,0 +1,271 @@
+package platform
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+
+	"glenport/internal/loop"
+	"glenport/internal/wire"
+	"glenport/placer"
+)
+
+// Deployment is what the platform tells a placer at its start.
+type Deployment struct {
+	Name      string
+	Listen    string
+	Bus       string
+	Terms     placer.Terms
+	Known     []busEvent
+	Last      int64 // number of the last event known
+	MemoryMB  int
+	Sockets   int
+	Connect   loop.Tick // a connection that does not stand by then never will
+	IdleLinks loop.Tick // machines close connections that are idle for so long
+
+	zones, kinds, workloads, customers []string // by their numbers
+}
+
+// Load reads the file that the platform names.
+func Load(path string) (*Deployment, error) {
+	p, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	d, err := parse(p)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return d, nil
+}
+
+func parse(p []byte) (*Deployment, error) {
+	var file struct {
+		Name, Listen, Seed, Bus string
+		Limits                  struct {
+			MemoryMB float64 `json:"memory_mb"`
+			Sockets  int
+		}
+		Known struct {
+			Offset int64
+			Batch  []json.RawMessage
+		}
+		Settings json.RawMessage
+	}
+	if err := json.Unmarshal(p, &file); err != nil {
+		return nil, located(p, err)
+	}
+	seed, err := strconv.ParseUint(file.Seed, 16, 64)
+	if err != nil {
+		return nil, fmt.Errorf("seed: %q is no number of 16 hex digits", file.Seed)
+	}
+	for _, a := range []struct{ key, addr string }{{"listen", file.Listen}, {"bus", file.Bus}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return nil, fmt.Errorf("%s: %w", a.key, err)
+		}
+	}
+	if file.Limits.Sockets < 64 || file.Limits.MemoryMB < 16 {
+		return nil, fmt.Errorf("limits: %d sockets and %g MB are too little to run on", file.Limits.Sockets, file.Limits.MemoryMB)
+	}
+	pairs, err := flatten(file.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	d := &Deployment{Name: file.Name, Listen: file.Listen, Bus: file.Bus, Last: file.Known.Offset,
+		MemoryMB: int(file.Limits.MemoryMB), Sockets: file.Limits.Sockets}
+	if d.Terms, err = wire.ParseTerms(seed, pairs); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	d.Terms.ListOnAsk = false // the event bus tells unasked
+	var named struct {
+		AZs, Kinds       []string
+		Classes, Tenants []struct{ Name string }
+		Permissions      struct {
+			Connect float64 `json:"connect_timeout_ms"`
+			Idle    float64 `json:"conn_idle_ms"`
+		}
+	}
+	if err := json.Unmarshal(file.Settings, &named); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	d.zones, d.kinds = named.AZs, named.Kinds
+	for _, c := range named.Classes {
+		d.workloads = append(d.workloads, c.Name)
+	}
+	for _, c := range named.Tenants {
+		d.customers = append(d.customers, c.Name)
+	}
+	d.Connect, d.IdleLinks = span(named.Permissions.Connect), span(named.Permissions.Idle)
+	if d.Connect <= 0 || d.IdleLinks <= 0 {
+		return nil, errors.New("settings: permissions.connect_timeout_ms and permissions.conn_idle_ms must be above 0")
+	}
+	for i, raw := range file.Known.Batch {
+		e, err := d.readEvent(raw)
+		if err != nil {
+			return nil, fmt.Errorf("known.batch[%d]: %w", i, err)
+		}
+		d.Known = append(d.Known, e)
+	}
+	return d, nil
+}
+
+func span(ms float64) loop.Tick { return loop.Tick(ms * float64(loop.Millisecond)) }
+
+// located names the line of a fault in a JSON file.
+func located(p []byte, err error) error {
+	var s *json.SyntaxError
+	var t *json.UnmarshalTypeError
+	at := int64(-1)
+	if errors.As(err, &s) {
+		at = s.Offset
+	} else if errors.As(err, &t) {
+		at = t.Offset
+	}
+	if at < 0 || at > int64(len(p)) {
+		return err
+	}
+	return fmt.Errorf("line %d: %w", 1+bytes.Count(p[:at], []byte("\n")), err)
+}
+
+// flatten writes nested terms as the pairs that the reader of terms takes: lists of plain values joined by commas,
+// lists of objects by their count and their items.
+func flatten(p []byte) ([]string, error) {
+	d := json.NewDecoder(bytes.NewReader(p))
+	d.UseNumber()
+	var top map[string]any
+	if err := d.Decode(&top); err != nil {
+		return nil, err
+	}
+	var pairs []string
+	var walk func(path string, v any) error
+	walk = func(path string, v any) error {
+		switch v := v.(type) {
+		case map[string]any:
+			if path != "" {
+				path += "."
+			}
+			for k, x := range v {
+				if err := walk(path+k, x); err != nil {
+					return err
+				}
+			}
+		case []any:
+			if len(v) > 0 {
+				if _, nested := v[0].(map[string]any); nested {
+					pairs = append(pairs, fmt.Sprintf("%s.count=%d", path, len(v)))
+					for i, x := range v {
+						if err := walk(fmt.Sprintf("%s.%d", path, i), x); err != nil {
+							return err
+						}
+					}
+					return nil
+				}
+			}
+			words := make([]string, len(v))
+			for i, x := range v {
+				w, err := plain(x)
+				if err != nil {
+					return fmt.Errorf("%s[%d]: %w", path, i, err)
+				}
+				words[i] = w
+			}
+			pairs = append(pairs, path+"="+strings.Join(words, ","))
+		default:
+			w, err := plain(v)
+			if err != nil {
+				return fmt.Errorf("%s: %w", path, err)
+			}
+			pairs = append(pairs, path+"="+w)
+		}
+		return nil
+	}
+	err := walk("", top)
+	slices.Sort(pairs)
+	return pairs, err
+}
+
+func plain(v any) (string, error) {
+	switch v := v.(type) {
+	case json.Number:
+		return v.String(), nil
+	case bool:
+		return strconv.FormatBool(v), nil
+	case string:
+		return strings.NewReplacer(" ", "_", ",", "_").Replace(v), nil
+	case nil:
+		return "-", nil
+	}
+	return "", fmt.Errorf("%T is no plain value", v)
+}
+
+// busEvent is one numbered change of the list of machines.
+type busEvent struct {
+	number  int64
+	whole   bool
+	version int64
+	hosts   []busHost
+}
+
+type busHost struct {
+	entry placer.Entry
+	addr  string
+}
+
+var hostStates = map[string]placer.MachineState{"ready": placer.Serving, "draining": placer.Draining, "gone": placer.Gone}
+
+// readEvent reads an event of the bus. A machine in a zone or of a kind that the terms do not have makes it faulty, but for
+// one that is gone.
+func (d *Deployment) readEvent(p []byte) (busEvent, error) {
+	var raw struct {
+		Offset   int64
+		Topology *struct {
+			Seq   int64
+			Whole bool
+			Hosts []struct {
+				Host, Dial, Site, Class, Health string
+				Block                           int
+				Share                           float64
+				Born                            float64 `json:"born_ms"`
+				Free                            []float64
+			}
+		}
+	}
+	if err := json.Unmarshal(p, &raw); err != nil {
+		return busEvent{}, err
+	}
+	if raw.Offset <= 0 || raw.Topology == nil {
+		return busEvent{}, errors.New("offset or topology is missing")
+	}
+	e := busEvent{number: raw.Offset, whole: raw.Topology.Whole, version: raw.Topology.Seq}
+	for i, h := range raw.Topology.Hosts {
+		state, ok := hostStates[h.Health]
+		zone, kind := slices.Index(d.zones, h.Site), slices.Index(d.kinds, h.Class)
+		_, err := netip.ParseAddrPort(h.Dial)
+		switch {
+		case !ok:
+			return e, fmt.Errorf("hosts[%d]: health %q is not known", i, h.Health)
+		case h.Host == "":
+			return e, fmt.Errorf("hosts[%d]: host is missing", i)
+		case state == placer.Gone:
+			zone, kind = max(zone, 0), max(kind, 0)
+		case err != nil:
+			return e, fmt.Errorf("hosts[%d]: dial: %w", i, err)
+		case zone < 0 || kind < 0:
+			return e, fmt.Errorf("hosts[%d]: site %q or class %q is not known", i, h.Site, h.Class)
+		}
+		b := busHost{addr: h.Dial, entry: placer.Entry{Machine: placer.MachineID(h.Host), Zone: zone, Kind: kind,
+			Cell: h.Block, State: state, PowerHint: h.Share, StartedAt: placer.Time(math.Floor(h.Born * 10))}}
+		if len(h.Free) == 2 {
+			b.entry.FreeCores, b.entry.FreeMemory = h.Free[0], h.Free[1]
+		}
+		e.hosts = append(e.hosts, b)
+	}
+	return e, nil
+}
--- /dev/null
+++ b/internal/platform/machines.go
@@ -0,0 +1,432 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"glenport/internal/jsonline"
+	"glenport/internal/loop"
+	"glenport/placer"
+)
+
+const outputOfLink = 256 << 10
+
+// machine is one that the bus has named, with its links. A set-up has a link of its own as long as there are
+// enough, so that a spoilt answer harms no other.
+type machine struct {
+	p       *Platform
+	id      placer.MachineID
+	addr    string
+	state   placer.MachineState
+	started placer.Time
+	links   []*link
+	bids    map[placer.ContainerID]*bid // out, or standing there
+}
+
+// link is one connection to a machine.
+type link struct {
+	m       *machine
+	conn    *loop.Conn
+	lines   jsonline.Lines
+	opened  bool
+	bids    map[*bid]bool       // waiting for it or out on it, until their answer
+	probes  map[string]*probing // by their call, until their answer or time-out
+	waiting []func()            // what goes out once it stands
+	usedAt  loop.Tick
+}
+
+type probing struct {
+	call   string
+	link   *link
+	timer  *loop.Timer
+	sentAt loop.Tick
+}
+
+func (p *Platform) machine(id placer.MachineID) *machine {
+	m := p.machines[id]
+	if m == nil {
+		m = &machine{p: p, id: id, state: placer.Gone, bids: map[placer.ContainerID]*bid{}}
+		p.machines[id] = m
+	}
+	return m
+}
+
+// learn hands an event of the bus to the module and keeps the addresses.
+func (p *Platform) learn(mode placer.ListMode, e busEvent) {
+	list := placer.ListCame{Mode: mode, Version: e.version}
+	if mode == placer.Changes && e.whole {
+		list.Mode = placer.WholeList
+	}
+	if e.whole {
+		for _, m := range p.machines {
+			m.state = placer.Gone
+		}
+	}
+	for _, h := range e.hosts {
+		m := p.machine(h.entry.Machine)
+		if m.addr != h.addr && m.addr != "" || m.started != h.entry.StartedAt {
+			m.closeIdle()
+		}
+		if h.addr != "" {
+			m.addr = h.addr
+		}
+		m.state, m.started = h.entry.State, h.entry.StartedAt
+		list.Entries = append(list.Entries, h.entry)
+	}
+	p.feed(list)
+	for _, m := range p.ordered() {
+		m.settle()
+	}
+}
+
+func (p *Platform) ordered() []*machine {
+	out := make([]*machine, 0, len(p.machines))
+	for _, m := range p.machines {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *machine) int { return strings.Compare(string(a.id), string(b.id)) })
+	return out
+}
+
+// settle lets go of a machine that is gone and empty.
+func (m *machine) settle() {
+	if m.state != placer.Gone || len(m.bids) > 0 {
+		return
+	}
+	for _, l := range slices.Clone(m.links) {
+		if len(l.bids)+len(l.probes) > 0 {
+			return
+		}
+	}
+	for _, l := range slices.Clone(m.links) {
+		l.conn.Close()
+	}
+	delete(m.p.machines, m.id)
+}
+
+func (m *machine) closeIdle() {
+	for _, l := range slices.Clone(m.links) {
+		if len(l.bids)+len(l.probes)+len(l.waiting) == 0 {
+			l.conn.Close()
+		}
+	}
+}
+
+// most is the number of links that one machine may have.
+func (p *Platform) most() int { return max(1, p.d.Sockets/3/max(1, len(p.machines))) }
+
+// take finds a link that carries no set-up, opens one, or shares the one that carries least.
+func (m *machine) take() *link {
+	var best *link
+	for _, l := range m.links {
+		if l.conn == nil || !l.opened && len(l.bids) > 0 {
+			continue
+		}
+		if best == nil || len(l.bids) < len(best.bids) {
+			best = l
+		}
+	}
+	if best != nil && len(best.bids) == 0 || best != nil && len(m.links) >= m.p.most() {
+		return best
+	}
+	return m.reach()
+}
+
+func (m *machine) reach() *link {
+	l := &link{m: m, lines: jsonline.Lines{Most: jsonline.MostBytes}, bids: map[*bid]bool{}, probes: map[string]*probing{},
+		usedAt: m.p.loop.Now()}
+	l.conn = m.p.loop.Dial(m.addr, l, outputOfLink, m.p.d.Connect)
+	m.links = append(m.links, l)
+	return l
+}
+
+// when runs do once the link stands.
+func (l *link) when(do func()) {
+	if l.opened {
+		do()
+	} else {
+		l.waiting = append(l.waiting, do)
+	}
+}
+
+func (l *link) Opened(*loop.Conn) {
+	l.opened = true
+	waiting := l.waiting
+	l.waiting = nil
+	for _, do := range waiting {
+		do()
+	}
+}
+
+func (l *link) Read(c *loop.Conn, b []byte) {
+	if err := l.lines.Feed(b, l.line); err != nil {
+		l.m.p.log.Debug("link broken", "machine", l.m.id, "why", err)
+		c.Reset()
+	}
+}
+
+// Closed ends what was under way on a link. A bid that was never sent never ran; one that was may have.
+func (l *link) Closed(_ *loop.Conn, why error) {
+	m, p := l.m, l.m.p
+	m.links = slices.DeleteFunc(m.links, func(x *link) bool { return x == l })
+	l.waiting = nil
+	short := errors.Is(why, loop.ErrShort)
+	for _, b := range l.ordered() {
+		switch {
+		case b.sent:
+			p.log.Debug("bid reset", "call", b.c.ask.ID, "machine", m.id, "why", why)
+			p.over(b, placer.Ended{Outcome: placer.Reset, Over: b.c.answered})
+		case short:
+			p.over(b, placer.Ended{Outcome: placer.NotSent, Over: b.c.answered})
+		default:
+			p.over(b, placer.Ended{Outcome: placer.NoConnect, Over: b.c.answered})
+		}
+	}
+	for _, q := range l.orderedProbes() {
+		switch {
+		case l.opened:
+			p.probed(q, placer.Reset, nil)
+		case short:
+			p.probed(q, placer.NotSent, nil)
+		default:
+			p.probed(q, placer.NoConnect, nil)
+		}
+	}
+	m.settle()
+}
+
+func (l *link) ordered() []*bid {
+	out := make([]*bid, 0, len(l.bids))
+	for b := range l.bids {
+		out = append(out, b)
+	}
+	slices.SortFunc(out, func(a, b *bid) int { return strings.Compare(string(a.c.ask.ID), string(b.c.ask.ID)) })
+	return out
+}
+
+func (l *link) orderedProbes() []*probing {
+	out := make([]*probing, 0, len(l.probes))
+	for _, q := range l.probes {
+		out = append(out, q)
+	}
+	slices.SortFunc(out, func(a, b *probing) int { return strings.Compare(a.call, b.call) })
+	return out
+}
+
+func (l *link) write(m *jsonline.Message) bool {
+	line, err := l.m.p.line(m)
+	if err != nil {
+		l.m.p.log.Error("message not sent", "machine", l.m.id, "why", err)
+		return false
+	}
+	l.m.p.show("to machine", string(l.m.id), m)
+	l.usedAt = l.m.p.loop.Now()
+	return l.conn.Write(line) == nil
+}
+
+// offer carries out a bid.
+func (p *Platform) offer(a placer.Bid) {
+	c := p.containers[a.ID]
+	if c == nil || c.answered || c.bid != nil {
+		p.log.Error("bid on a container that is not open", "id", a.ID)
+		return
+	}
+	now := p.loop.Now()
+	until := loop.Tick(c.ask.Due)
+	if a.MaxWait != 0 {
+		until = min(until, now+loop.Tick(a.MaxWait))
+	}
+	b := &bid{c: c, nth: c.bids, at: p.machine(a.Machine), sentAt: now, until: until}
+	c.bids++
+	c.bid = b
+	b.at.bids[a.ID] = b
+	if b.at.addr == "" {
+		p.over(b, placer.Ended{Outcome: placer.NotSent})
+		return
+	}
+	b.timer = p.loop.After(until-now, func() {
+		if b.sent {
+			p.callOff(b)
+			p.over(b, placer.Ended{Outcome: placer.TimedOut})
+		} else {
+			p.over(b, placer.Ended{Outcome: placer.NoConnect})
+		}
+	})
+	b.link = b.at.take()
+	b.link.bids[b] = true
+	b.link.when(func() {
+		if c.bid == b {
+			p.send(b)
+		}
+	})
+}
+
+// send puts a bid on its link, unless the machine takes nothing new by now.
+func (p *Platform) send(b *bid) {
+	if b.at.state != placer.Serving {
+		p.over(b, placer.Ended{Outcome: placer.NotSent})
+		return
+	}
+	c := b.c
+	with := jsonline.Fields{"class": c.class, "key": c.ask.Key,
+		"left": strconv.FormatInt(int64((b.until-p.loop.Now())/loop.Millisecond), 10)}
+	if c.idem != "" {
+		with["idem"] = c.idem
+	}
+	if b.sent = b.link.write(&jsonline.Message{Op: jsonline.Offer, Call: string(c.ask.ID), With: with, Desc: c.desc}); !b.sent {
+		p.over(b, placer.Ended{Outcome: placer.NotSent})
+	}
+}
+
+// callOff tells the machine that a bid is waited for no longer.
+func (p *Platform) callOff(b *bid) {
+	if b.sent && b.link != nil {
+		b.link.write(&jsonline.Message{Op: jsonline.End, Call: string(b.c.ask.ID), Why: jsonline.Because(jsonline.GivenUp)})
+	}
+}
+
+// endStanding passes on that an owner ends what stands; the machine then says that it is over.
+func (p *Platform) endStanding(c *container, cause int) {
+	b := c.bid
+	if b.ended {
+		return
+	}
+	b.ended = true
+	if b.at.addr == "" {
+		return
+	}
+	l := b.at.take()
+	l.when(func() {
+		l.write(&jsonline.Message{Op: jsonline.End, Call: string(c.ask.ID), Why: jsonline.Because(max(cause, 0))})
+	})
+}
+
+var outcomes = map[int]placer.Outcome{jsonline.NoRoom: placer.Full, jsonline.Faulty: placer.Erred,
+	jsonline.Moot: placer.NotSent}
+
+var fates = map[int]placer.Outcome{jsonline.GivenUp: placer.Finished, jsonline.Cancelled: placer.Stopped}
+
+var reasons = map[string]placer.Reason{"cpu_full": placer.NoCores, "mem_full": placer.NoMemory, "busy": placer.LongQueue,
+	"wrong_host": placer.NotHere, "oom": placer.Evicted, "preempted": placer.PushedOut, "drained": placer.SentAway}
+
+var sorts = map[string]placer.NoteSort{"up": placer.Running, "cpu": placer.CoresUsed, "mem": placer.MemoryUsed,
+	"share": placer.ServedShare, "tight": placer.MachineMemory}
+
+func (l *link) line(line []byte) error {
+	msg, err := jsonline.Decode(line)
+	if err != nil {
+		return err
+	}
+	m, p := l.m, l.m.p
+	p.show("of machine", string(m.id), msg)
+	b := m.bids[placer.ContainerID(msg.Call)]
+	switch msg.Op {
+	case jsonline.Accept:
+		if b != nil && !b.stands && b.link == l {
+			return p.accepted(b, msg)
+		}
+	case jsonline.End:
+		if b == nil || !b.stands && b.link != l {
+			return nil
+		}
+		e := placer.Ended{Reason: reasons[msg.With["note"]], Report: report(msg.With["load"]), Outcome: placer.Reset}
+		if b.stands {
+			if o, ok := fates[msg.Cause()]; ok {
+				e.Outcome = o
+			}
+			p.released(b, msg.Cause(), e)
+			return nil
+		}
+		if o, ok := outcomes[msg.Cause()]; ok {
+			e.Outcome = o
+		}
+		p.over(b, e)
+	case jsonline.Info:
+		if v, err := strconv.ParseFloat(msg.With["value"], 64); err == nil && b != nil && b.sent && sorts[msg.With["note"]] != 0 {
+			p.feed(placer.Noted{ID: b.c.ask.ID, Machine: m.id, Bid: b.nth, Sort: sorts[msg.With["note"]], Amount: v})
+		}
+	case jsonline.Tested:
+		if q := l.probes[msg.Call]; q != nil {
+			outcome := placer.Erred
+			if msg.Cause() == jsonline.Passed {
+				outcome = placer.Finished
+			}
+			p.probed(q, outcome, report(msg.With["load"]))
+		}
+	}
+	return nil
+}
+
+// accepted passes a machine's yes to the owner.
+func (p *Platform) accepted(b *bid, msg *jsonline.Message) error {
+	c := b.c
+	if len(msg.Desc) == 0 {
+		return errors.New("a yes without a description")
+	}
+	p.loop.Cancel(b.timer)
+	delete(b.link.bids, b)
+	b.stands = true
+	p.feed(placer.Placed{ID: c.ask.ID, Bid: b.nth, Machine: b.at.id, Took: placer.Time(p.loop.Now() - b.sentAt)})
+	p.answer(c.ask.ID, &jsonline.Message{Op: jsonline.Accept, Desc: msg.Desc})
+	return nil
+}
+
+func report(s string) placer.Report {
+	if s == "" {
+		return nil
+	}
+	r := placer.Report{}
+	for _, f := range strings.Split(s, ";") {
+		k, v, _ := strings.Cut(f, ":")
+		if x, err := strconv.ParseFloat(v, 64); err == nil {
+			r[k] = x
+		}
+	}
+	return r
+}
+
+func (p *Platform) probe(id placer.MachineID) {
+	m := p.machine(id)
+	if m.addr == "" {
+		p.feed(placer.Probed{Machine: id, Outcome: placer.NotSent})
+		return
+	}
+	p.lastProbe++
+	l := m.take()
+	q := &probing{call: fmt.Sprintf("%016x", p.lastProbe), link: l, sentAt: p.loop.Now()}
+	l.probes[q.call] = q
+	q.timer = p.loop.After(probeWithin, func() { p.probed(q, placer.TimedOut, nil) })
+	l.when(func() {
+		l.write(&jsonline.Message{Op: jsonline.Test, Call: q.call, Why: jsonline.Because(jsonline.Passed)})
+	})
+}
+
+func (p *Platform) probed(q *probing, o placer.Outcome, r placer.Report) {
+	if q.link.probes[q.call] != q {
+		return
+	}
+	delete(q.link.probes, q.call)
+	p.loop.Cancel(q.timer)
+	p.feed(placer.Probed{Machine: q.link.m.id, Outcome: o, Took: placer.Time(p.loop.Now() - q.sentAt), Report: r})
+}
+
+// house closes links before the machine does, and keeps one where something stands: its end is told there.
+func (m *machine) house(now loop.Tick) {
+	stands := 0
+	for _, b := range m.bids {
+		if b.stands {
+			stands++
+		}
+	}
+	for i, l := range slices.Clone(m.links) {
+		if len(l.bids)+len(l.probes)+len(l.waiting) == 0 && now-l.usedAt > m.p.d.IdleLinks/2 && (i > 0 || stands == 0) {
+			l.conn.Close()
+		}
+	}
+	if stands > 0 && len(m.links) == 0 && m.addr != "" && m.state != placer.Gone {
+		m.reach()
+	}
+}
--- /dev/null
+++ b/internal/platform/owners.go
@@ -0,0 +1,213 @@
+package platform
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+
+	"glenport/internal/jsonline"
+	"glenport/internal/loop"
+	"glenport/placer"
+)
+
+const (
+	outputOfCaller = 256 << 10
+	strangerFor    = 2 * loop.Second // a caller that has been sent nothing by then, and awaits nothing, is let go
+	longestWait    = 600_000         // ms that an owner may wait
+)
+
+// caller is one connection from owners.
+type caller struct {
+	p      *Platform
+	number int
+	conn   *loop.Conn
+	lines  jsonline.Lines
+	open   int // set-ups without an answer
+	served int // messages sent to it
+	came   loop.Tick
+}
+
+func (p *Platform) accept() (loop.Handler, int) {
+	p.lastCaller++
+	return &caller{p: p, number: p.lastCaller, lines: jsonline.Lines{Most: jsonline.MostBytes}, came: p.loop.Now()}, outputOfCaller
+}
+
+func (k *caller) Opened(c *loop.Conn) {
+	k.conn = c
+	k.p.callers[k] = true
+}
+
+func (k *caller) Read(_ *loop.Conn, b []byte) {
+	if err := k.lines.Feed(b, k.line); err != nil {
+		k.p.log.Debug("caller let go", "caller", k.number, "why", err)
+		k.conn.Close()
+	}
+}
+
+// Closed ends what was under way for a caller; what stands belongs to no connection.
+func (k *caller) Closed(*loop.Conn, error) {
+	p := k.p
+	delete(p.callers, k)
+	var left []*container
+	for _, c := range p.containers {
+		if c.caller == k {
+			left = append(left, c)
+		}
+	}
+	slices.SortFunc(left, func(a, b *container) int { return strings.Compare(string(a.ask.ID), string(b.ask.ID)) })
+	for _, c := range left {
+		if !c.answered {
+			p.vanish(c)
+		}
+		c.caller = nil
+	}
+}
+
+func (k *caller) write(m *jsonline.Message) bool {
+	if k.conn == nil || !k.conn.Open() {
+		return false
+	}
+	line, err := k.p.line(m)
+	if err != nil {
+		k.p.log.Error("message not sent", "caller", k.number, "why", err)
+		return false
+	}
+	k.p.show("to owner", fmt.Sprint(k.number), m)
+	if err := k.conn.Write(line); err != nil {
+		k.conn.Reset()
+		return false
+	}
+	k.served++
+	return true
+}
+
+func (k *caller) house(now loop.Tick) {
+	if k.open == 0 && k.served == 0 && now-k.came > strangerFor {
+		k.conn.Close()
+	}
+}
+
+func (k *caller) line(line []byte) error {
+	m, err := jsonline.Decode(line)
+	if err != nil {
+		return err
+	}
+	p := k.p
+	p.show("of owner", fmt.Sprint(k.number), m)
+	switch m.Op {
+	case jsonline.Offer:
+		k.asked(m)
+	case jsonline.End:
+		if c := p.containers[placer.ContainerID(m.Call)]; c != nil {
+			switch {
+			case !c.answered && c.caller == k:
+				p.vanish(c)
+			case c.bid != nil && c.bid.stands:
+				p.endStanding(c, m.Cause())
+			}
+		}
+	case jsonline.Test:
+		passed := jsonline.Passed
+		if p.leaving {
+			passed = jsonline.Failed
+		}
+		k.write(&jsonline.Message{Op: jsonline.Tested, Call: m.Call, Why: jsonline.Because(passed)})
+		p.payOwed()
+	}
+	return nil
+}
+
+// asked takes in a set-up: a container to be placed, or one that stands already.
+func (k *caller) asked(m *jsonline.Message) {
+	p := k.p
+	ask, at, err := p.d.readAsk(m, p.loop.Now())
+	if err == nil && p.containers[ask.ID] != nil && at == "" {
+		err = errors.New("call: it is open already")
+	}
+	if err != nil {
+		p.log.Debug("set-up turned away", "caller", k.number, "call", m.Call, "why", err)
+		if at == "" {
+			k.write(&jsonline.Message{Op: jsonline.End, Call: m.Call, Why: jsonline.Because(jsonline.Unreadable)})
+		}
+		return
+	}
+	if at != "" {
+		p.takeOver(k, ask, at)
+		return
+	}
+	c := &container{ask: ask, class: m.With["class"], idem: m.With["idem"], desc: slices.Clone(m.Desc), caller: k}
+	p.containers[ask.ID] = c
+	k.open++
+	p.feed(placer.Asked{Ask: ask})
+}
+
+// takeOver counts a container that stands at a machine, unless it is known to.
+func (p *Platform) takeOver(k *caller, ask placer.Ask, at placer.MachineID) {
+	if p.containers[ask.ID] != nil {
+		return
+	}
+	m := p.machine(at)
+	for _, b := range m.bids {
+		if b.c.ask.Key == ask.Key && b.stands {
+			return
+		}
+	}
+	c := &container{ask: ask, caller: k, answered: true, bids: 1}
+	c.bid = &bid{c: c, at: m, stands: true, sent: true, sentAt: p.loop.Now()}
+	p.containers[ask.ID] = c
+	m.bids[ask.ID] = c.bid
+	p.feed(placer.TookOver{Ask: ask, Machine: at})
+}
+
+// readAsk reads a set-up; at is the machine that holds the container already.
+func (d *Deployment) readAsk(m *jsonline.Message, now loop.Tick) (ask placer.Ask, at placer.MachineID, err error) {
+	extras := map[string]string{}
+	if x := m.With["extras"]; x != "" {
+		for _, f := range strings.Split(x, ";") {
+			name, v, ok := strings.Cut(f, ":")
+			if !ok {
+				return ask, at, fmt.Errorf("extras: %q has no value", f)
+			}
+			extras[name] = v
+		}
+	}
+	at = placer.MachineID(extras["at"])
+	ask = placer.Ask{ID: placer.ContainerID(m.Call), Key: m.With["key"], Service: extras["service"],
+		Workload: slices.Index(d.workloads, m.With["class"]), Again: m.With["retry"] == "1"}
+	if ask.Workload < 0 {
+		return ask, at, fmt.Errorf("class: %q is not known", m.With["class"])
+	}
+	if name := m.With["tenant"]; name != "" {
+		if ask.Customer = slices.Index(d.customers, name); ask.Customer < 0 {
+			return ask, at, fmt.Errorf("tenant: %q is not known", name)
+		}
+	}
+	if ask.Key == "" || ask.Service == "" {
+		return ask, at, errors.New("key or extras service is missing")
+	}
+	var left float64
+	for _, f := range []struct {
+		name, text string
+		to         *float64
+		least      float64
+		most       float64
+	}{
+		{"extras cores", extras["cores"], &ask.Cores, 0, 1e6},
+		{"extras memory", extras["memory"], &ask.Memory, 0, 1e9},
+		{"left", m.With["left"], &left, 0, longestWait},
+	} {
+		if f.text == "" && at != "" {
+			continue
+		}
+		v, err := strconv.ParseFloat(f.text, 64)
+		if err != nil || math.IsNaN(v) || v < f.least || v > f.most {
+			return ask, at, fmt.Errorf("%s: %q is no number from %g to %g", f.name, f.text, f.least, f.most)
+		}
+		*f.to = v
+	}
+	ask.Due = placer.Time(now) + placer.Time(left*float64(placer.Millisecond))
+	return ask, at, nil
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,309 @@
+// Package platform runs one placer behind the platform's protocol: messages of owners and machines and events of the bus
+// become the placer module's events, and what it wants done is carried out, in order. It decides nothing itself.
+// Everything here runs on the event loop's goroutine.
+package platform
+
+import (
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+
+	"glenport/internal/jsonline"
+	"glenport/internal/loop"
+	"glenport/placer"
+)
+
+// Decider is the placer module, or a script in its place.
+type Decider interface {
+	Handle(now placer.Time, events []placer.Event) []placer.Action
+}
+
+const (
+	houseEvery  = loop.Second / 4
+	probeWithin = loop.Second
+)
+
+// Platform is one life of a placer on the platform.
+type Platform struct {
+	d       *Deployment
+	log     *slog.Logger
+	loop    *loop.Loop
+	door    *loop.Listener
+	decider Decider
+	trace   bool
+
+	events     []placer.Event
+	containers map[placer.ContainerID]*container // until answered, without a bid and over
+	machines   map[placer.MachineID]*machine     // until gone from the bus and empty
+	callers    map[*caller]bool                  // until their connection ends
+	owed       []*jsonline.Message               // releases that no owner's connection could take; emptied as one opens
+	bus        bus
+	scratch    []byte
+	lastProbe  uint64
+	lastCaller int
+
+	leaving   bool // told to stop
+	leavingAt loop.Tick
+}
+
+// container is one that an owner asks for or that stands.
+type container struct {
+	ask      placer.Ask
+	class    string
+	idem     string
+	desc     []byte
+	caller   *caller // nil once its connection has ended
+	answered bool
+	bids     int
+	bid      *bid // the one that is out, or by which it stands
+}
+
+// bid is an offer that waits for a link, is out, or has led to a container that stands.
+type bid struct {
+	c      *container
+	nth    int
+	at     *machine
+	link   *link // nil where it was taken over
+	sent   bool
+	stands bool
+	ended  bool // its owner ended it
+	sentAt loop.Tick
+	until  loop.Tick
+	timer  *loop.Timer
+}
+
+// New makes a placer and opens its door. Run frees what it holds.
+func New(d *Deployment, decider Decider, log *slog.Logger, trace bool) (*Platform, error) {
+	p := &Platform{d: d, log: log, decider: decider, trace: trace, containers: map[placer.ContainerID]*container{},
+		machines: map[placer.MachineID]*machine{}, callers: map[*caller]bool{}}
+	p.bus = bus{p: p, addr: d.Bus, last: d.Last}
+	var err error
+	if p.loop, err = loop.New(p.turn); err != nil {
+		return nil, err
+	}
+	if p.door, err = p.loop.Listen(d.Listen, p.accept, p.loop.Telling(log, "callers")); err != nil {
+		p.loop.Stop()
+		p.loop.Run()
+		return nil, err
+	}
+	return p, nil
+}
+
+// Addr is where owners call.
+func (p *Platform) Addr() string { return p.door.Addr().String() }
+
+// Run serves until it is told to leave and owes nothing more.
+func (p *Platform) Run() error {
+	p.loop.Post(p.begin)
+	return p.loop.Run()
+}
+
+func (p *Platform) begin() {
+	p.log.Info("placer up", "name", p.d.Name, "door", p.Addr(), "events known", p.d.Last)
+	for i, e := range p.d.Known {
+		mode := placer.Changes
+		if i == 0 {
+			mode = placer.OldList
+		}
+		p.learn(mode, e)
+	}
+	if len(p.d.Known) == 0 {
+		p.feed(placer.ListCame{Mode: placer.OldList})
+	}
+	p.bus.reach()
+	p.loop.After(houseEvery, p.keepHouse)
+}
+
+// Leave ends Run once nothing is owed to owners any more; any goroutine may call it.
+func (p *Platform) Leave() {
+	p.loop.Post(func() {
+		if !p.leaving {
+			p.leaving, p.leavingAt = true, p.loop.Now()
+			p.log.Info("leaving", "containers", len(p.containers))
+		}
+	})
+}
+
+// Renew takes the address of the bus from a new file; any goroutine may call it.
+func (p *Platform) Renew(d *Deployment) {
+	p.loop.Post(func() { p.bus.move(d.Bus) })
+}
+
+func (p *Platform) feed(e placer.Event) { p.events = append(p.events, e) }
+
+func (p *Platform) turn() {
+	events := p.events
+	if len(events) == 0 {
+		return
+	}
+	p.events = nil
+	for _, a := range p.decider.Handle(placer.Time(p.loop.Now()), events) {
+		p.carry(a)
+	}
+	if len(p.events) > 0 {
+		p.loop.Again()
+	}
+}
+
+// carry does what the placer module wants done.
+func (p *Platform) carry(a placer.Action) {
+	switch a := a.(type) {
+	case placer.Bid:
+		p.offer(a)
+	case placer.PushBack:
+		m := &jsonline.Message{Op: jsonline.End, Why: jsonline.Because(jsonline.NoRoom)}
+		if a.HoldOff > 0 {
+			m.With = jsonline.Fields{"wait": fmt.Sprint(int64(a.HoldOff / placer.Millisecond))}
+		}
+		p.answer(a.ID, m)
+	case placer.GiveUp:
+		p.answer(a.ID, &jsonline.Message{Op: jsonline.End, Why: jsonline.Because(jsonline.Temporary)})
+	case placer.Withdraw:
+		if c := p.containers[a.ID]; c != nil && c.bid != nil && !c.bid.stands && c.bid.nth == a.Bid {
+			p.callOff(c.bid)
+			p.over(c.bid, placer.Ended{Outcome: placer.Stopped, Over: c.answered})
+		}
+	case placer.Probe:
+		p.probe(a.Machine)
+	case placer.Disconnect:
+		if m := p.machines[a.Machine]; m != nil {
+			m.closeIdle()
+		}
+	case placer.Wake:
+		p.loop.After(loop.Tick(a.After), func() { p.feed(placer.Woke{Name: a.Name}) })
+	case placer.Watch, placer.Fetch: // the bus is followed from the start
+	case placer.Log:
+		p.log.Info("mode", "text", a.Text)
+	}
+}
+
+// answer gives the owner of a container its one final answer.
+func (p *Platform) answer(id placer.ContainerID, m *jsonline.Message) {
+	c := p.containers[id]
+	if c == nil || c.answered {
+		return
+	}
+	c.answered = true
+	if c.caller != nil {
+		m.Call = string(id)
+		c.caller.open--
+		c.caller.write(m)
+	}
+	if c.bid != nil && !c.bid.stands {
+		p.callOff(c.bid)
+		p.over(c.bid, placer.Ended{Outcome: placer.Stopped, Over: true})
+		return
+	}
+	p.forget(c)
+}
+
+// vanish ends a container whose owner waits no longer.
+func (p *Platform) vanish(c *container) {
+	c.answered = true
+	if c.caller != nil {
+		c.caller.open--
+	}
+	p.feed(placer.Vanished{ID: c.ask.ID})
+	if c.bid != nil {
+		p.callOff(c.bid)
+		p.over(c.bid, placer.Ended{Outcome: placer.Stopped, Over: true})
+		return
+	}
+	p.forget(c)
+}
+
+func (p *Platform) forget(c *container) {
+	if c.answered && c.bid == nil {
+		delete(p.containers, c.ask.ID)
+	}
+}
+
+// over ends a bid with its one outcome.
+func (p *Platform) over(b *bid, e placer.Ended) {
+	c := b.c
+	if c.bid != b {
+		return
+	}
+	p.loop.Cancel(b.timer)
+	if b.link != nil && !b.stands {
+		delete(b.link.bids, b)
+	}
+	delete(b.at.bids, c.ask.ID)
+	c.bid = nil
+	e.ID, e.Bid, e.Machine, e.Took = c.ask.ID, b.nth, b.at.id, placer.Time(p.loop.Now()-b.sentAt)
+	p.feed(e)
+	p.forget(c)
+	b.at.settle()
+}
+
+// released ends a container that stood, and tells its owner, unless that ended it.
+func (p *Platform) released(b *bid, cause int, e placer.Ended) {
+	c := b.c
+	e.Over = true
+	p.over(b, e)
+	if b.ended || cause == jsonline.Cancelled {
+		return
+	}
+	m := &jsonline.Message{Op: jsonline.End, Call: string(c.ask.ID), Why: jsonline.Because(cause)}
+	if c.caller != nil && c.caller.write(m) {
+		return
+	}
+	p.owed = append(p.owed, m)
+	p.payOwed()
+}
+
+// payOwed sends releases on any owner's connection, since what stands belongs to none.
+func (p *Platform) payOwed() {
+	for len(p.owed) > 0 {
+		var to *caller
+		for k := range p.callers {
+			if k.served > 0 && (to == nil || k.number > to.number) {
+				to = k
+			}
+		}
+		if to == nil || !to.write(p.owed[0]) {
+			return
+		}
+		p.owed = p.owed[1:]
+	}
+}
+
+func (p *Platform) keepHouse() {
+	p.loop.After(houseEvery, p.keepHouse)
+	now := p.loop.Now()
+	for _, k := range slices.SortedFunc(maps.Keys(p.callers), func(a, b *caller) int { return a.number - b.number }) {
+		k.house(now)
+	}
+	for _, id := range slices.Sorted(maps.Keys(p.machines)) {
+		p.machines[id].house(now)
+	}
+	p.bus.house(now)
+	if p.leaving && now-p.leavingAt > loop.Second && p.unanswered() == 0 {
+		p.log.Info("left", "standing", len(p.containers))
+		p.loop.Stop()
+	}
+}
+
+func (p *Platform) unanswered() int {
+	n := 0
+	for _, c := range p.containers {
+		if !c.answered {
+			n++
+		}
+	}
+	return n
+}
+
+// line writes a message for a connection; it holds until the next.
+func (p *Platform) line(m *jsonline.Message) ([]byte, error) {
+	var err error
+	p.scratch, err = jsonline.Append(p.scratch[:0], m)
+	return p.scratch, err
+}
+
+func (p *Platform) show(way, who string, m *jsonline.Message) {
+	if p.trace {
+		p.log.Info("trace", "t", p.loop.Now(), "way", way, "peer", who, "op", m.Op, "call", m.Call, "with", m.With, "why", m.Cause())
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -85,7 +85,8 @@
 	return out
 }
 
-func parseTerms(seed uint64, fields []string) (placer.Terms, error) {
+// ParseTerms reads the pairs path=value of a start-up message.
+func ParseTerms(seed uint64, fields []string) (placer.Terms, error) {
 	s := &startup{pairs: make(map[string]string, len(fields))}
 	for _, f := range fields {
 		k, v, ok := strings.Cut(f, "=")
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -116,7 +116,7 @@
 		if err != nil {
 			return errors.New("the seed is no whole number")
 		}
-		terms, err := parseTerms(seed, f.rest())
+		terms, err := ParseTerms(seed, f.rest())
 		if err != nil {
 			return err
 		}
