--- a/internal/platform/bus.go
+++ b/internal/platform/bus.go
@@ -1,9 +1,7 @@
 package platform
 
 import (
-	"bytes"
 	"fmt"
-	"strconv"
 
 	"glenport/internal/jsonline"
 	"glenport/internal/loop"
@@ -92,13 +90,6 @@
 		s.broken = false
 		s.p.log.Info("event bus followed", "last", s.last)
 	}
-	line = bytes.TrimSpace(line)
-	if n, err := strconv.ParseInt(string(line), 10, 64); err == nil {
-		if n > s.last {
-			return fmt.Errorf("event %d is missing", s.last+1)
-		}
-		return nil
-	}
 	e, err := s.p.d.readEvent(line)
 	if err != nil {
 		return err
@@ -106,6 +97,9 @@
 	if e.number <= s.last {
 		return nil
 	}
+	if e.bare {
+		return fmt.Errorf("event %d is missing", s.last+1)
+	}
 	s.last = e.number
 	s.p.learn(placer.Changes, e)
 	return nil
--- a/internal/platform/deployment.go
+++ b/internal/platform/deployment.go
@@ -108,6 +108,9 @@
 	}
 	for i, raw := range file.Known.Batch {
 		e, err := d.readEvent(raw)
+		if err == nil && e.bare {
+			err = errors.New("topology is missing")
+		}
 		if err != nil {
 			return nil, fmt.Errorf("known.batch[%d]: %w", i, err)
 		}
@@ -208,6 +211,7 @@
 // busEvent is one numbered change of the list of machines.
 type busEvent struct {
 	number  int64
+	bare    bool // the number of the last event alone
 	whole   bool
 	version int64
 	hosts   []busHost
@@ -240,8 +244,11 @@
 	if err := json.Unmarshal(p, &raw); err != nil {
 		return busEvent{}, err
 	}
-	if raw.Offset <= 0 || raw.Topology == nil {
-		return busEvent{}, errors.New("offset or topology is missing")
+	if raw.Offset < 0 {
+		return busEvent{}, errors.New("offset is below 0")
+	}
+	if raw.Topology == nil {
+		return busEvent{number: raw.Offset, bare: true}, nil
 	}
 	e := busEvent{number: raw.Offset, whole: raw.Topology.Whole, version: raw.Topology.Seq}
 	for i, h := range raw.Topology.Hosts {
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -199,8 +199,8 @@
 		{"extras memory", extras["memory"], &ask.Memory, 0, 1e9},
 		{"left", m.With["left"], &left, 0, longestWait},
 	} {
-		if f.text == "" && at != "" {
-			continue
+		if at != "" && (f.text == "" || f.to == &left) {
+			continue // what stands has no hard stop
 		}
 		v, err := strconv.ParseFloat(f.text, 64)
 		if err != nil || math.IsNaN(v) || v < f.least || v > f.most {
