A porter decides which callers a placer keeps with few descriptors

Change: internal/porter, pure: callers without an open set-up make room; links beyond the first close after 5 s idle.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -407,6 +407,7 @@
 	dead    bool
 	told    bool
 	ending  error // the close that follows the last byte
+	resting bool  // what comes is left unread
 	halved  bool  // the write side is to end after the last byte
 	linger  *Timer
 	read    int // bytes, so far
@@ -519,6 +520,16 @@
 	c.mark()
 }
 
+// Rest leaves what comes unread, or reads it again. A break is heard all the same.
+func (c *Conn) Rest(on bool) {
+	if c.dead || c.resting == on {
+		return
+	}
+	if c.resting = on; c.fd >= 0 && c.dialing == nil {
+		c.watch()
+	}
+}
+
 // Close ends the connection once what waits is written, two seconds later at most.
 func (c *Conn) Close() { c.end(ErrClosed) }
 
@@ -574,7 +585,7 @@
 
 func (c *Conn) watch() {
 	events := uint32(unix.EPOLLIN)
-	if c.ending != nil {
+	if c.ending != nil || c.resting {
 		events = 0
 	}
 	if c.waits {
@@ -610,6 +621,9 @@
 	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) == 0 {
 		return
 	}
+	if c.resting && events&(unix.EPOLLHUP|unix.EPOLLERR) == 0 {
+		return
+	}
 	if c.ending != nil {
 		if events&(unix.EPOLLHUP|unix.EPOLLERR) != 0 {
 			c.fail(c.ending)
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -9,6 +9,7 @@
 
 	"glenport/internal/jsonline"
 	"glenport/internal/loop"
+	"glenport/internal/porter"
 	"glenport/placer"
 )
 
@@ -115,9 +116,6 @@
 	}
 }
 
-// most is the number of links that one machine may have.
-func (p *Platform) most() int { return max(1, p.d.Sockets/3/max(1, len(p.machines))) }
-
 // take finds a link that carries no set-up, opens one, or shares the one that carries least.
 func (m *machine) take() *link {
 	var best *link
@@ -129,7 +127,7 @@
 			best = l
 		}
 	}
-	if best != nil && len(best.bids) == 0 || best != nil && len(m.links) >= m.p.most() {
+	if best != nil && len(best.bids) == 0 || best != nil && len(m.links) >= porter.MostLinks(m.p.d.Sockets, len(m.p.machines)) {
 		return best
 	}
 	return m.reach()
@@ -422,7 +420,8 @@
 		}
 	}
 	for i, l := range slices.Clone(m.links) {
-		if len(l.bids)+len(l.probes)+len(l.waiting) == 0 && now-l.usedAt > m.p.d.IdleLinks/2 && (i > 0 || stands == 0) {
+		here := porter.Link{First: i == 0, Stands: stands > 0, Idle: porter.Time(now - l.usedAt), Closes: porter.Time(m.p.d.IdleLinks)}
+		if len(l.bids)+len(l.probes)+len(l.waiting) == 0 && !here.Keeps() {
 			l.conn.Close()
 		}
 	}
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -10,13 +10,13 @@
 
 	"glenport/internal/jsonline"
 	"glenport/internal/loop"
+	"glenport/internal/porter"
 	"glenport/placer"
 )
 
 const (
 	outputOfCaller = 256 << 10
-	strangerFor    = 2 * loop.Second // a caller that has been sent nothing by then, and awaits nothing, is let go
-	longestWait    = 600_000         // ms that an owner may wait
+	longestWait    = 600_000 // ms that an owner may wait
 )
 
 // caller is one connection from owners.
@@ -25,32 +25,36 @@
 	number int
 	conn   *loop.Conn
 	lines  jsonline.Lines
-	open   int // set-ups without an answer
-	served int // messages sent to it
-	came   loop.Tick
+	served bool // something was sent to it
 }
 
+func (k *caller) id() porter.CallerID { return porter.CallerID(k.number) }
+
 func (p *Platform) accept() (loop.Handler, int) {
 	p.lastCaller++
-	return &caller{p: p, number: p.lastCaller, lines: jsonline.Lines{Most: jsonline.MostBytes}, came: p.loop.Now()}, outputOfCaller
+	return &caller{p: p, number: p.lastCaller, lines: jsonline.Lines{Most: jsonline.MostBytes}}, outputOfCaller
 }
 
 func (k *caller) Opened(c *loop.Conn) {
 	k.conn = c
-	k.p.callers[k] = true
+	k.p.callers[k.id()] = k
+	k.p.tell(porter.Came{Caller: k.id()})
 }
 
 func (k *caller) Read(_ *loop.Conn, b []byte) {
 	if err := k.lines.Feed(b, k.line); err != nil {
 		k.p.log.Debug("caller let go", "caller", k.number, "why", err)
 		k.conn.Close()
+		return
 	}
+	k.p.tell(porter.Heard{Caller: k.id(), Half: k.lines.Half() > 0})
 }
 
 // Closed ends what was under way for a caller; what stands belongs to no connection.
 func (k *caller) Closed(*loop.Conn, error) {
 	p := k.p
-	delete(p.callers, k)
+	delete(p.callers, k.id())
+	p.tell(porter.Left{Caller: k.id()})
 	var left []*container
 	for _, c := range p.containers {
 		if c.caller == k {
@@ -80,16 +84,10 @@
 		k.conn.Reset()
 		return false
 	}
-	k.served++
+	k.served = true
 	return true
 }
 
-func (k *caller) house(now loop.Tick) {
-	if k.open == 0 && k.served == 0 && now-k.came > strangerFor {
-		k.conn.Close()
-	}
-}
-
 func (k *caller) line(line []byte) error {
 	m, err := jsonline.Decode(line)
 	if err != nil {
@@ -115,6 +113,7 @@
 			passed = jsonline.Failed
 		}
 		k.write(&jsonline.Message{Op: jsonline.Tested, Call: m.Call, Why: jsonline.Because(passed)})
+		p.tell(porter.Answered{Caller: k.id()})
 		p.payOwed()
 	}
 	return nil
@@ -131,6 +130,8 @@
 		p.log.Debug("set-up turned away", "caller", k.number, "call", m.Call, "why", err)
 		if at == "" {
 			k.write(&jsonline.Message{Op: jsonline.End, Call: m.Call, Why: jsonline.Because(jsonline.Unreadable)})
+			p.tell(porter.Answered{Caller: k.id()})
+			p.tell(porter.TurnedAway{Caller: k.id()})
 		}
 		return
 	}
@@ -140,7 +141,7 @@
 	}
 	c := &container{ask: ask, class: m.With["class"], idem: m.With["idem"], desc: slices.Clone(m.Desc), caller: k}
 	p.containers[ask.ID] = c
-	k.open++
+	p.tell(porter.Asked{Caller: k.id()})
 	p.feed(placer.Asked{Ask: ask})
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -11,6 +11,7 @@
 
 	"glenport/internal/jsonline"
 	"glenport/internal/loop"
+	"glenport/internal/porter"
 	"glenport/placer"
 )
 
@@ -34,9 +35,11 @@
 	trace   bool
 
 	events     []placer.Event
+	porter     *porter.Porter
+	atDoor     []porter.Event                    // for the porter, at the end of the turn
 	containers map[placer.ContainerID]*container // until answered, without a bid and over
 	machines   map[placer.MachineID]*machine     // until gone from the bus and empty
-	callers    map[*caller]bool                  // until their connection ends
+	callers    map[porter.CallerID]*caller       // until their connection ends
 	owed       []*jsonline.Message               // releases that no owner's connection could take; emptied as one opens
 	bus        bus
 	scratch    []byte
@@ -76,7 +79,8 @@
 // New makes a placer and opens its door. Run frees what it holds.
 func New(d *Deployment, decider Decider, log *slog.Logger, trace bool) (*Platform, error) {
 	p := &Platform{d: d, log: log, decider: decider, trace: trace, containers: map[placer.ContainerID]*container{},
-		machines: map[placer.MachineID]*machine{}, callers: map[*caller]bool{}}
+		machines: map[placer.MachineID]*machine{}, callers: map[porter.CallerID]*caller{},
+		porter: porter.New(d.Sockets)}
 	p.bus = bus{p: p, addr: d.Bus, last: d.Last}
 	var err error
 	if p.loop, err = loop.New(p.turn); err != nil {
@@ -132,7 +136,39 @@
 
 func (p *Platform) feed(e placer.Event) { p.events = append(p.events, e) }
 
+func (p *Platform) tell(e porter.Event) { p.atDoor = append(p.atDoor, e) }
+
 func (p *Platform) turn() {
+	p.decide()
+	if told := p.atDoor; len(told) > 0 {
+		p.atDoor = nil
+		for _, a := range p.porter.Handle(porter.Time(p.loop.Now()), told) {
+			p.see(a)
+		}
+	}
+	if len(p.events)+len(p.atDoor) > 0 {
+		p.loop.Again()
+	}
+}
+
+// see does what the porter wants done.
+func (p *Platform) see(a porter.Action) {
+	switch a := a.(type) {
+	case porter.LetGo:
+		if k := p.callers[a.Caller]; k != nil {
+			p.log.Debug("caller let go", "caller", k.number, "why", a.Why)
+			k.conn.Close()
+		}
+	case porter.Rest:
+		if k := p.callers[a.Caller]; k != nil {
+			k.conn.Rest(true)
+			p.loop.After(loop.Tick(a.For), func() { k.conn.Rest(false) })
+		}
+	}
+}
+
+// decide hands the placer module what happened.
+func (p *Platform) decide() {
 	events := p.events
 	if len(events) == 0 {
 		return
@@ -141,9 +177,6 @@
 	for _, a := range p.decider.Handle(placer.Time(p.loop.Now()), events) {
 		p.carry(a)
 	}
-	if len(p.events) > 0 {
-		p.loop.Again()
-	}
 }
 
 // carry does what the placer module wants done.
@@ -187,8 +220,8 @@
 	c.answered = true
 	if c.caller != nil {
 		m.Call = string(id)
-		c.caller.open--
 		c.caller.write(m)
+		p.tell(porter.Answered{Caller: c.caller.id(), Closed: 1})
 	}
 	if c.bid != nil && !c.bid.stands {
 		p.callOff(c.bid)
@@ -202,7 +235,7 @@
 func (p *Platform) vanish(c *container) {
 	c.answered = true
 	if c.caller != nil {
-		c.caller.open--
+		p.tell(porter.TookBack{Caller: c.caller.id()})
 	}
 	p.feed(placer.Vanished{ID: c.ask.ID})
 	if c.bid != nil {
@@ -257,8 +290,8 @@
 func (p *Platform) payOwed() {
 	for len(p.owed) > 0 {
 		var to *caller
-		for k := range p.callers {
-			if k.served > 0 && (to == nil || k.number > to.number) {
+		for _, k := range p.callers {
+			if k.served && (to == nil || k.number > to.number) {
 				to = k
 			}
 		}
@@ -272,9 +305,7 @@
 func (p *Platform) keepHouse() {
 	p.loop.After(houseEvery, p.keepHouse)
 	now := p.loop.Now()
-	for _, k := range slices.SortedFunc(maps.Keys(p.callers), func(a, b *caller) int { return a.number - b.number }) {
-		k.house(now)
-	}
+	p.tell(porter.Tick{})
 	for _, id := range slices.Sorted(maps.Keys(p.machines)) {
 		p.machines[id].house(now)
 	}
--- /dev/null
+++ b/internal/porter/porter.go
@@ -0,0 +1,226 @@
+// Package porter decides which connections a placer keeps while it has few descriptors: which callers at its door are
+// let go or left waiting, and how many links a machine may have and for how long. It does no I/O and has no clock.
+package porter
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Time is a clock reading or a span, in tenths of a millisecond.
+type Time int64
+
+const (
+	Millisecond Time = 10
+	Second      Time = 10_000
+)
+
+// Tuned values. What a peer can do to a door, not one deployment, sets them.
+const (
+	callersPart = 2                // one part in so many of the descriptors is for callers,
+	linksPart   = 3                // and one for links to machines; the rest is for the bus, listener and log
+	unknownFor  = 2 * Second       // a caller that has been sent nothing by then, and awaits nothing, is let go
+	halfFor     = 2 * Second       // likewise one whose message is not whole by then
+	settled     = Second / 5       // a caller younger than this may have a set-up on the way
+	firstRest   = 50 * Millisecond // after a message that was turned away; it doubles with each more
+	longestRest = Second
+	idleLink    = 5 * Second // a link beyond a machine's first that carries nothing is closed after it
+)
+
+// CallerID numbers the callers in the order in which they came.
+type CallerID uint64
+
+// Event is something that happened at the door.
+type Event interface{ event() }
+
+type (
+	Came  struct{ Caller CallerID }
+	Heard struct {
+		Caller CallerID
+		Half   bool // a message is not whole yet
+	}
+	Asked    struct{ Caller CallerID } // a set-up was taken in
+	Answered struct {                  // something was sent to it
+		Caller CallerID
+		Closed int // set-ups that this closed
+	}
+	TookBack   struct{ Caller CallerID } // its owner gave a set-up up
+	TurnedAway struct{ Caller CallerID } // a message that nothing can be done with was answered
+	Left       struct{ Caller CallerID }
+	Tick       struct{} // some time has passed
+)
+
+func (Came) event()       {}
+func (Heard) event()      {}
+func (Asked) event()      {}
+func (Answered) event()   {}
+func (TookBack) event()   {}
+func (TurnedAway) event() {}
+func (Left) event()       {}
+func (Tick) event()       {}
+
+// Action is something that the host is to do.
+type Action interface{ action() }
+
+type (
+	// LetGo closes a caller's connection.
+	LetGo struct {
+		Caller CallerID
+		Why    string
+	}
+	// Rest leaves what a caller sends unread for a while.
+	Rest struct {
+		Caller CallerID
+		For    Time
+	}
+)
+
+func (LetGo) action() {}
+func (Rest) action()  {}
+
+// Porter knows the callers at one door. Its one table is emptied by Left.
+type Porter struct {
+	most    int
+	callers map[CallerID]*caller
+	staying int // callers that were not told to go
+}
+
+type caller struct {
+	id     CallerID
+	came   Time
+	usedAt Time
+	half   Time // since when a message is not whole; 0: none is under way
+	open   int  // set-ups without an answer
+	sent   bool
+	rest   Time
+	going  bool
+}
+
+// New makes the porter of a placer that may hold so many descriptors.
+func New(descriptors int) *Porter {
+	return &Porter{most: max(8, descriptors/callersPart), callers: map[CallerID]*caller{}}
+}
+
+// Handle takes what happened by now and returns what is to be done.
+func (p *Porter) Handle(now Time, events []Event) []Action {
+	var out []Action
+	for _, e := range events {
+		switch e := e.(type) {
+		case Came:
+			p.callers[e.Caller] = &caller{id: e.Caller, came: now, usedAt: now}
+			p.staying++
+			if p.staying > p.most {
+				out = p.makeRoom(now, out)
+			}
+		case Heard:
+			if c := p.callers[e.Caller]; c != nil {
+				if c.usedAt = now; !e.Half {
+					c.half = 0
+				} else if c.half == 0 {
+					c.half = now
+				}
+			}
+		case Asked:
+			if c := p.callers[e.Caller]; c != nil {
+				c.open++
+			}
+		case Answered:
+			if c := p.callers[e.Caller]; c != nil {
+				c.usedAt, c.sent = now, true
+				c.open -= e.Closed
+			}
+		case TookBack:
+			if c := p.callers[e.Caller]; c != nil {
+				c.open--
+			}
+		case TurnedAway:
+			if c := p.callers[e.Caller]; c != nil && !c.going {
+				c.rest = min(max(firstRest, 2*c.rest), longestRest)
+				out = append(out, Rest{c.id, c.rest})
+			}
+		case Left:
+			if c := p.callers[e.Caller]; c != nil {
+				if delete(p.callers, e.Caller); !c.going {
+					p.staying--
+				}
+			}
+		case Tick:
+			for _, c := range p.sorted() {
+				switch {
+				case c.going || c.open > 0:
+				case !c.sent && now-c.came > unknownFor:
+					out = p.letGo(c, "it has asked nothing", out)
+				case c.half > 0 && now-c.half > halfFor:
+					out = p.letGo(c, "its message never ends", out)
+				}
+			}
+		}
+	}
+	return out
+}
+
+func (p *Porter) letGo(c *caller, why string, out []Action) []Action {
+	c.going = true
+	p.staying--
+	return append(out, LetGo{c.id, why})
+}
+
+func (p *Porter) sorted() []*caller {
+	out := make([]*caller, 0, len(p.callers))
+	for _, c := range p.callers {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(a, b *caller) int { return cmp.Compare(a.id, b.id) })
+	return out
+}
+
+// makeRoom lets one caller go that awaits nothing: first one that came some time ago and has asked nothing, then the one
+// unused for longest, then the newest. Where all await something the newest goes, and what it asked is taken back.
+func (p *Porter) makeRoom(now Time, out []Action) []Action {
+	rank := func(c *caller) int {
+		switch {
+		case c.open > 0:
+			return 3
+		case now-c.came < settled:
+			return 2
+		case c.sent:
+			return 1
+		}
+		return 0
+	}
+	var worst *caller
+	for _, c := range p.sorted() {
+		switch {
+		case c.going:
+		case worst == nil || rank(c) < rank(worst):
+			worst = c
+		case rank(c) > rank(worst):
+		case rank(c) >= 2 || c.usedAt < worst.usedAt: // of two that are new, or await something, the newer
+			worst = c
+		}
+	}
+	return p.letGo(worst, "the door is full", out)
+}
+
+// MostLinks is the number of links that each of so many machines may have.
+func MostLinks(descriptors, machines int) int { return max(1, descriptors/linksPart/max(1, machines)) }
+
+// Link is what counts when it is asked whether a link stays.
+type Link struct {
+	First  bool // the machine's
+	Stands bool // a container stands at the machine: its end is told on the first link
+	Idle   Time // since when it has carried nothing
+	Closes Time // the machine closes a link that is idle for so long
+}
+
+// Keeps tells whether a link that carries nothing stays. It goes well before the machine would close it: a bid that
+// crosses such a close may have run.
+func (l Link) Keeps() bool {
+	switch {
+	case l.First && l.Stands:
+		return true
+	case l.First:
+		return l.Idle < l.Closes/2
+	}
+	return l.Idle < min(idleLink, l.Closes/2)
+}
