An error is held to a machine once the container ran elsewhere

The trace shows all ten machines 'out' within half a second: 254 ends with cause 47, each of a bad caller's container that erred at four machines in 1 ms (placer.end judged the machine for each); the machines' other answers were good, and 223 bids found no room on the few left in the draw. Change: errors wait; they count once the container ran elsewhere, or alone; a container that erred at several machines speaks against none. A call used twice at once on one connection ends it.

--- a/cmd/glenport/platform.go
+++ b/cmd/glenport/platform.go
@@ -34,7 +34,11 @@
 			}
 			runtime.GOMAXPROCS(1)
 			debug.SetMemoryLimit(int64(heapShare * float64(d.MemoryMB<<20)))
-			log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+			level := slog.LevelInfo
+			if trace {
+				level = slog.LevelDebug
+			}
+			log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
 			p, err := platform.New(d, placer.New(d.Terms), log, trace)
 			if err != nil {
 				return err
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -97,7 +97,7 @@
 	p.show("of owner", fmt.Sprint(k.number), m)
 	switch m.Op {
 	case jsonline.Offer:
-		k.asked(m)
+		return k.asked(m)
 	case jsonline.End:
 		if c := p.containers[placer.ContainerID(m.Call)]; c != nil {
 			switch {
@@ -120,10 +120,13 @@
 }
 
 // asked takes in a set-up: a container to be placed, or one that stands already.
-func (k *caller) asked(m *jsonline.Message) {
+func (k *caller) asked(m *jsonline.Message) error {
 	p := k.p
 	ask, at, err := p.d.readAsk(m, p.loop.Now())
-	if err == nil && p.containers[ask.ID] != nil && at == "" {
+	if c := p.containers[ask.ID]; err == nil && at == "" && c != nil {
+		if !c.answered && c.caller == k { // which of the two an answer would be for nobody could tell
+			return errors.New("a call is used for two set-ups at once")
+		}
 		err = errors.New("call: it is open already")
 	}
 	if err != nil {
@@ -133,16 +136,17 @@
 			p.tell(porter.Answered{Caller: k.id()})
 			p.tell(porter.TurnedAway{Caller: k.id()})
 		}
-		return
+		return nil
 	}
 	if at != "" {
 		p.takeOver(k, ask, at)
-		return
+		return nil
 	}
 	c := &container{ask: ask, class: m.With["class"], idem: m.With["idem"], desc: slices.Clone(m.Desc), caller: k}
 	p.containers[ask.ID] = c
 	p.tell(porter.Asked{Caller: k.id()})
 	p.feed(placer.Asked{Ask: ask})
+	return nil
 }
 
 // takeOver counts a container that stands at a machine, unless it is known to.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -107,9 +107,17 @@
 	ranAt    *machine // of the first bid that may have run
 	ranSince Time
 	left     []*machine // out of this container's draw
+	erred    []erring   // errors that nobody is held to yet
 	used     room
 }
 
+// erring is an error that a container got: the machine's fault or its own.
+type erring struct {
+	at     *machine
+	sentAt Time
+	silent bool // nothing was heard of the machine since the bid
+}
+
 func New(t Terms) *Placer {
 	return &Placer{terms: t, rng: pcg{t.Seed}, machines: map[MachineID]*machine{},
 		services: map[string]*service{}, containers: map[ContainerID]*container{},
@@ -373,10 +381,29 @@
 	} else {
 		p.do(GiveUp{c.ask.ID})
 	}
-	c.closed = true
+	if c.closed = true; len(c.erred) == 1 {
+		p.blame(c)
+	}
 	p.forget(c)
 }
 
+// blame holds machines to the errors that a container got there. It comes once the container has run elsewhere,
+// or is closed with a single error: one that erred at each of several machines is taken to be at fault itself,
+// and speaks against none of them. Harm: where most machines are at fault it takes one more container to tell.
+func (p *Placer) blame(c *container) {
+	for _, e := range c.erred {
+		if e.sentAt < e.at.started {
+			continue // it was another start
+		}
+		if e.silent {
+			p.judge(e.at, true)
+		} else {
+			p.weigh(c, e.at, true)
+		}
+	}
+	c.erred = nil
+}
+
 // draw picks a machine at random among those that pass the filters, by honored capacity. The draw is
 // indexed: chance picks one of a service's few lots, and each lot, hashed from service and machine, falls on
 // a machine with odds proportional to its capacity. So the containers of a service meet again on few
@@ -539,6 +566,7 @@
 		return
 	}
 	c.placed, c.at.heardAt = true, p.now
+	p.blame(c)
 	p.full -= p.full / 32
 	p.missed -= p.missed / 32
 	p.judge(c.at, false)
@@ -585,6 +613,8 @@
 		}
 	case o == NoConnect:
 		p.judge(m, true)
+	case o == Erred && !placed:
+		c.erred = append(c.erred, erring{m, c.sentAt, silent})
 	case o == Erred || o == TimedOut || o == Reset:
 		if silent && !placed || o == Reset && e.Reason == NoReason {
 			p.judge(m, true)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -341,6 +341,51 @@
 	})
 }
 
+// An error speaks against a machine once the container ran elsewhere, or erred nowhere else.
+func TestErrorsAreHeldTo(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		words string // e: error, y: yes, f: full, of each machine in turn
+		sick  int    // machines with evidence against them
+	}{
+		{"one error, then a yes", "ey", 1},
+		{"two errors, then a yes", "eey", 2},
+		{"an error, then full everywhere", "efff", 1},
+		{"errors everywhere", "eeee", 0},
+		{"two errors, then full", "eeff", 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := fleet(terms(Reissuable))
+			at := ask(p, Second, "x", "s")
+			for i, w := range tc.words {
+				if at == "" {
+					t.Fatalf("no bid before word %d", i)
+				}
+				var e Event = Placed{ID: "x", Bid: i, Machine: at}
+				switch w {
+				case 'e':
+					e = Ended{ID: "x", Bid: i, Machine: at, Outcome: Erred}
+				case 'f':
+					e = Ended{ID: "x", Bid: i, Machine: at, Outcome: Full, Reason: NoMemory}
+				}
+				at = ""
+				if b, ok := last(p.Handle(Second+Time(i+1), []Event{e})).(Bid); ok {
+					at = b.Machine
+				}
+			}
+			sick := 0
+			for _, m := range p.order {
+				if m.sick > 0 {
+					sick++
+				}
+			}
+			if sick != tc.sick {
+				t.Errorf("%d machines look sick, want %d", sick, tc.sick)
+			}
+		})
+	}
+}
+
 // Placers that start together, or fail together, do not ask for the list together: it answers few at a time.
 func TestListCalls(t *testing.T) {
 	for _, tc := range []struct {
