--- /dev/null
+++ b/internal/platform/helpers_test.go
@@ -0,0 +1,235 @@
+package platform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"glenport/internal/jsonline"
+	"glenport/placer"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const patience = 10 * time.Second // a test that waits longer has failed
+
+// terms are a deployment's settings: a reissuable workload and a numbered one, two kinds, two customers.
+const terms = `{"me":0,"balancers":1,"az":0,"azs":["hall a","hall-b"],"kinds":["small","large"],"registry_mode":"on_request",
+ "classes":[{"name":"matcher","effect":"safe","aim_ms":700.0,"deadline_ms":6000.0,"credit":1.0},
+  {"name":"report-run","effect":"keyed","group":"zone","window_ms":8000.0,"aim_ms":700.0,"deadline_ms":6000.0,"credit":2.0}],
+ "tenants":[{"name":"schools","share":0.7},{"name":"offices","share":0.3}],
+ "permissions":{"probes":true,"max_attempts":4,"connect_timeout_ms":250.0,"conn_idle_ms":30000.0},
+ "rules":{"ask_every_ms":10000.0,"cold_ms":17000.0,"grace_to_answer_ms":8.0,"overload_for_ms":3000.0},
+ "family_info":{"admit_cores":2.0,"mem_booking":1.5,"unit_cores":1.0,"unit_memory":2.0,"yes_at":"running","use_notes":false,
+  "view":true,"fresh_offers":30.0,"cpu_of_kind":[24,48],"kind_memory":[60.0,120.0],"class_kind":[-1,-1],"class_most":[2,2],
+  "spread_over":["silent","silent"],"quota_cores":[100.0,50.0]},"note":null}`
+
+func host(id, addr, state string, born int64) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"hall-b","class":"large","block":2,"health":%q,"share":1,"born_ms":%d,"free":[40.5,100]}`,
+		id, addr, state, born)
+}
+
+func event(n int, whole bool, hosts ...string) string {
+	return fmt.Sprintf(`{"offset":%d,"topology":{"seq":%d,"whole":%t,"hosts":[%s]}}`, n, n, whole, strings.Join(hosts, ","))
+}
+
+// file is a deployment's file with one event known.
+func file(bus string, sockets int, known ...string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":64,"sockets":%d},"bus":%q,
+ "known":{"offset":%d,"batch":[%s]},"settings":%s}`, sockets, bus, len(known), strings.Join(known, ","), terms)
+}
+
+// script stands in place of the module.
+type script struct {
+	mu     sync.Mutex
+	on     func(e placer.Event) []placer.Action
+	events chan placer.Event
+}
+
+func (s *script) Handle(_ placer.Time, events []placer.Event) (out []placer.Action) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, e := range events {
+		out = append(out, s.on(e)...)
+		s.events <- e
+	}
+	return out
+}
+
+// bidToA bids each container to machine a, and gives it up after its first outcome.
+func bidToA(wait placer.Time) func(placer.Event) []placer.Action {
+	return func(e placer.Event) []placer.Action {
+		switch e := e.(type) {
+		case placer.Asked:
+			return []placer.Action{placer.Bid{ID: e.ID, Machine: "a", MaxWait: wait}}
+		case placer.Ended:
+			if !e.Over {
+				return []placer.Action{placer.GiveUp{ID: e.ID}}
+			}
+		}
+		return nil
+	}
+}
+
+type rig struct {
+	*testing.T
+	p      *Platform
+	script *script
+}
+
+func start(t *testing.T, on func(placer.Event) []placer.Action, config string) *rig {
+	t.Helper()
+	d, err := parse([]byte(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{T: t, script: &script{on: on, events: make(chan placer.Event, 100_000)}}
+	if r.p, err = New(d, r.script, slog.New(slog.NewTextHandler(io.Discard, nil)), false); err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- r.p.Run() }()
+	t.Cleanup(func() {
+		r.p.loop.Stop()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return r
+}
+
+// await waits for an event of a sort.
+func await[E placer.Event](r *rig, holds func(E) bool) E {
+	r.Helper()
+	timeout := time.After(patience)
+	for {
+		select {
+		case e := <-r.script.events:
+			if e, ok := e.(E); ok && (holds == nil || holds(e)) {
+				return e
+			}
+		case <-timeout:
+			var none E
+			r.Fatalf("no %T came", none)
+		}
+	}
+}
+
+// peer is the other end of a connection, an owner or a machine.
+type peer struct {
+	t *testing.T
+	c net.Conn
+	r *bufio.Reader
+}
+
+func (r *rig) owner() *peer {
+	c, err := net.Dial("tcp", r.p.Addr())
+	if err != nil {
+		r.Fatal(err)
+	}
+	r.Cleanup(func() { c.Close() })
+	return newPeer(r.T, c)
+}
+
+func newPeer(t *testing.T, c net.Conn) *peer {
+	c.SetDeadline(time.Now().Add(patience))
+	return &peer{t, c, bufio.NewReader(c)}
+}
+
+func (o *peer) say(lines ...string) {
+	for _, l := range lines {
+		io.WriteString(o.c, l+"\n")
+	}
+}
+
+// hear reads the next message; nil at the connection's end.
+func (o *peer) hear() *jsonline.Message {
+	line, err := o.r.ReadBytes('\n')
+	if err != nil {
+		return nil
+	}
+	m, err := jsonline.Decode(line)
+	if err != nil {
+		o.t.Errorf("%v: %s", err, line)
+	}
+	return m
+}
+
+// listen gives each caller to serve, in a goroutine of its own, until the test ends.
+func listen(t *testing.T, serve func(*peer)) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			wg.Go(func() {
+				defer c.Close()
+				serve(newPeer(t, c))
+			})
+		}
+	})
+	t.Cleanup(func() {
+		l.Close()
+		mu.Lock()
+		for _, c := range open {
+			c.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	return l.Addr().String()
+}
+
+// machine answers each set-up with lines; %s is its call.
+func machine(t *testing.T, lines ...string) string {
+	return listen(t, func(m *peer) {
+		for msg := m.hear(); msg != nil; msg = m.hear() {
+			if msg.Op != jsonline.Offer {
+				continue
+			}
+			for _, l := range lines {
+				if l == "close" {
+					return
+				}
+				m.say(strings.ReplaceAll(l, "%s", msg.Call))
+			}
+		}
+	})
+}
+
+// silentBus takes callers and tells them nothing but the last number.
+func silentBus(t *testing.T) string {
+	return listen(t, func(b *peer) {
+		for {
+			if _, err := b.r.ReadString('\n'); err != nil {
+				return
+			}
+			b.say(`{"offset":1}`)
+		}
+	})
+}
+
+func setUp(call, more string) string {
+	return `{"op":"offer","call":"` + call + `","with":{"class":"report-run","left":"2000","tenant":"offices","key":"k` + call +
+		`","idem":"i1","extras":"cores:1;memory:2;service:s1` + more + `"},"desc":"v=0\r\n"}`
+}
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,361 @@
+package platform
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"glenport/internal/jsonline"
+	"glenport/placer"
+)
+
+const call = "00000000000000aa"
+
+func TestFile(t *testing.T) {
+	good := file("127.0.0.1:1", 256, event(1, true, host("a", "127.0.0.1:2", "ready", 5), host("b", "127.0.0.1:3", "draining", 0)))
+	for _, tc := range []struct{ name, old, with, fault string }{
+		{"good", "", "", ""},
+		{"no JSON", `"bus":`, `"bus"`, "line 2: invalid character"},
+		{"seed", `"8c1f`, `"xyz`, "seed: "},
+		{"address of the bus", `"127.0.0.1:1"`, `"bus.example"`, "bus: "},
+		{"sockets", `"sockets":256`, `"sockets":3`, "3 sockets"},
+		{"missing term", `"me":0,`, ``, "setting me is missing"},
+		{"term of the wrong sort", `"balancers":1`, `"balancers":"x"`, "setting balancers"},
+		{"nested list", `"azs":["hall a"`, `"azs":[["x"]`, "azs[0]"},
+		{"machine's kind", `"class":"large"`, `"class":"huge"`, `known.batch[0]: hosts[0]: site "hall-b" or class "huge"`},
+		{"machine's address", `127.0.0.1:2"`, `nowhere"`, "known.batch[0]: hosts[0]: dial"},
+		{"machine's state", `"draining"`, `"resting"`, "known.batch[0]: hosts[1]: health"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d, err := parse([]byte(strings.Replace(good, tc.old, tc.with, 1)))
+			if tc.fault != "" {
+				if err == nil || !strings.Contains(err.Error(), tc.fault) {
+					t.Errorf("fault %v, want %q", err, tc.fault)
+				}
+				return
+			}
+			if err != nil {
+				t.Fatal(err)
+			}
+			want := placer.Entry{Machine: "a", Zone: 1, Kind: 1, Cell: 2, PowerHint: 1, FreeCores: 40.5, FreeMemory: 100, StartedAt: 50}
+			if got := d.Known[0].hosts[0].entry; got != want || len(d.Terms.Workloads) != 2 || d.Terms.Customers[1].Cores != 50 ||
+				d.Terms.Seed != 0x8c1f30d27a5be964 || d.Terms.ListOnAsk {
+				t.Errorf("machine %+v, terms %+v", got, d.Terms)
+			}
+		})
+	}
+}
+
+// Each outcome of the module's contract arises from what really passes on a socket, and the owner hears one answer.
+func TestOutcomes(t *testing.T) {
+	yes := `{"op":"accept","call":"%s","with":{},"desc":"made\u0020here"}`
+	end := func(why int, with string) string {
+		return fmt.Sprintf(`{"op":"end","call":"%%s","with":{%s},"why":%d}`, with, why)
+	}
+	for _, tc := range []struct {
+		name   string
+		says   []string
+		want   placer.Outcome
+		reason placer.Reason
+		over   bool
+		told   []int // causes that the owner hears; -1 is an answer
+	}{
+		{"full", []string{end(34, `"note":"mem_full","load":"x0:1.5;x1:2"`)}, placer.Full, placer.NoMemory, false, []int{41}},
+		{"erred", []string{end(47, "")}, placer.Erred, 0, false, []int{41}},
+		{"never left", []string{end(102, "")}, placer.NotSent, 0, false, []int{41}},
+		{"broke on its way", []string{end(41, "")}, placer.Reset, 0, false, []int{41}},
+		{"another cause", []string{end(16, "")}, placer.Reset, 0, false, []int{41}},
+		{"finished", []string{yes, end(16, "")}, placer.Finished, 0, true, []int{-1, 16}},
+		{"evicted", []string{yes, end(41, `"note":"oom"`)}, placer.Reset, placer.Evicted, true, []int{-1, 41}},
+		{"sent away", []string{yes, end(41, `"note":"drained"`)}, placer.Reset, placer.SentAway, true, []int{-1, 41}},
+		{"two yeses", []string{yes, yes, end(16, "")}, placer.Finished, 0, true, []int{-1, 16}},
+		{"an answer for another ahead", []string{strings.Replace(yes, "%s", "00000000000000bb", 1), yes, end(16, "")},
+			placer.Finished, 0, true, []int{-1, 16}},
+		{"a yes without a description", []string{`{"op":"accept","call":"%s","with":{}}`}, placer.Reset, 0, false, []int{41}},
+		{"noise", []string{"\x01\x02\xff"}, placer.Reset, 0, false, []int{41}},
+		{"a line that never ends", []string{strings.Repeat("x", 20<<10)}, placer.Reset, 0, false, []int{41}},
+		{"closes", []string{"close"}, placer.Reset, 0, false, []int{41}},
+		{"says nothing", nil, placer.TimedOut, 0, false, []int{41}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			addr := machine(t, tc.says...)
+			r := start(t, bidToA(300*placer.Millisecond), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+			o := r.owner()
+			o.say(setUp(call, ""))
+			e := await[placer.Ended](r, nil)
+			if e.Outcome != tc.want || e.Reason != tc.reason || e.Over != tc.over || e.Machine != "a" || e.ID != call {
+				t.Errorf("got %+v", e)
+			}
+			if tc.name == "full" && e.Report["x0"] != 1.5 {
+				t.Errorf("report %v", e.Report)
+			}
+			for _, want := range tc.told {
+				m := o.hear()
+				if m == nil || m.Call != call || m.Cause() != want {
+					t.Fatalf("the owner heard %+v, want cause %d", m, want)
+				}
+				if want == -1 && (m.Op != jsonline.Accept || string(m.Desc) != `"made\u0020here"`) {
+					t.Errorf("answered %+v", m)
+				}
+			}
+			o.say(`{"op":"test","call":"0000000000000001","with":{},"why":0}`)
+			if m := o.hear(); m == nil || m.Op != jsonline.Tested || m.Cause() != jsonline.Passed {
+				t.Errorf("after the last answer came %+v", m)
+			}
+		})
+	}
+}
+
+func TestNoConnect(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", l.Addr().String(), "ready", 0))))
+	r.owner().say(setUp(call, ""))
+	if e := await[placer.Ended](r, nil); e.Outcome != placer.NoConnect {
+		t.Errorf("got %+v", e)
+	}
+}
+
+// A set-up goes on as it came, and nothing more than belongs to it.
+func TestOfferGoesOn(t *testing.T) {
+	got := make(chan *jsonline.Message, 1)
+	addr := listen(t, func(m *peer) { got <- m.hear(); m.hear() })
+	r := start(t, bidToA(placer.Second), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	r.owner().say(setUp(call, ""))
+	a := await[placer.Asked](r, nil)
+	if a.Workload != 1 || a.Customer != 1 || a.Cores != 1 || a.Memory != 2 || a.Service != "s1" || a.Key != "k"+call || a.Again {
+		t.Errorf("asked %+v", a.Ask)
+	}
+	m := <-got
+	if m.Call != call || m.With["class"] != "report-run" || m.With["key"] != "k"+call || m.With["idem"] != "i1" ||
+		len(m.With) != 4 || string(m.Desc) != `"v=0\r\n"` {
+		t.Errorf("offered %+v", m)
+	}
+}
+
+// What cannot be used is turned away by name or with the connection; nothing of it reaches the module.
+func TestTurnedAway(t *testing.T) {
+	good := setUp(call, "")
+	for _, tc := range []struct {
+		name, line string
+		closed     bool
+	}{
+		{"class", strings.Replace(good, "report-run", "other", 1), false},
+		{"tenant", strings.Replace(good, "offices", "nobody", 1), false},
+		{"left is no number", strings.Replace(good, `"2000"`, `"soon"`, 1), false},
+		{"left is negative", strings.Replace(good, `"2000"`, `-1`, 1), false},
+		{"left is huge", strings.Replace(good, `"2000"`, `1e99`, 1), false},
+		{"cores", strings.Replace(good, "cores:1", "cores:NaN", 1), false},
+		{"extras", strings.Replace(good, "cores:1", "cores", 1), false},
+		{"service", strings.Replace(good, "service:s1", "x:y", 1), false},
+		{"key", strings.Replace(good, `"key"`, `"kay"`, 1), false},
+		{"call", strings.Replace(good, call, "zz", 1), true},
+		{"noise", "\xff\xfe", true},
+		{"never ends", strings.Repeat("x", 1<<20), true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true)))
+			o := r.owner()
+			go o.say(tc.line) // it may never be read to its end
+			m := o.hear()
+			if tc.closed != (m == nil) || m != nil && (m.Op != jsonline.End || m.Cause() != jsonline.Unreadable) {
+				t.Errorf("heard %+v", m)
+			}
+			r.p.loop.Post(func() { r.script.events <- placer.Woke{Name: "last"} })
+			await(r, func(e placer.Woke) bool { return e.Name == "last" })
+		})
+	}
+}
+
+// A call that is open is not taken twice: from elsewhere the second is turned away, from the same caller both are over.
+func TestCallTwice(t *testing.T) {
+	addr := listen(t, func(m *peer) { m.hear(); m.hear() })
+	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	first, second := r.owner(), r.owner()
+	first.say(setUp(call, ""))
+	await[placer.Asked](r, nil)
+	second.say(setUp(call, ""))
+	if m := second.hear(); m == nil || m.Cause() != jsonline.Unreadable {
+		t.Errorf("the second heard %+v", m)
+	}
+	first.say(setUp(call, ""))
+	if m := first.hear(); m != nil {
+		t.Errorf("the first heard %+v", m)
+	}
+	await(r, func(e placer.Vanished) bool { return e.ID == call })
+}
+
+// An owner that gives a set-up up, or goes, takes its bid back.
+func TestTakenBack(t *testing.T) {
+	for _, way := range []string{"end", "close"} {
+		t.Run(way, func(t *testing.T) {
+			got := make(chan *jsonline.Message, 2)
+			addr := listen(t, func(m *peer) { got <- m.hear(); got <- m.hear() })
+			r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+			o := r.owner()
+			o.say(setUp(call, ""))
+			<-got
+			if way == "end" {
+				o.say(`{"op":"end","call":"` + call + `","with":{},"why":16}`)
+			} else {
+				o.c.Close()
+			}
+			if m := <-got; m == nil || m.Op != jsonline.End || m.Cause() != jsonline.GivenUp {
+				t.Errorf("the machine heard %+v", m)
+			}
+			await[placer.Vanished](r, nil)
+			if e := await[placer.Ended](r, nil); !e.Over || e.Outcome != placer.Stopped {
+				t.Errorf("got %+v", e)
+			}
+		})
+	}
+}
+
+// The end of what stands is told on any owner's connection, also where it was taken over, and once.
+func TestStandsWithoutConnection(t *testing.T) {
+	release := make(chan bool)
+	addr := listen(t, func(m *peer) {
+		if <-release {
+			m.say(`{"op":"end","call":"`+call+`","with":{},"why":16}`, `{"op":"end","call":"`+call+`","with":{},"why":16}`)
+		}
+		m.hear()
+	})
+	t.Cleanup(func() { close(release) })
+	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	first := r.owner()
+	first.say(strings.Replace(setUp(call, ";at:a"), `"2000"`, `"4294967"`, 1), setUp(call, ";at:a"))
+	if e := await[placer.TookOver](r, nil); e.Machine != "a" {
+		t.Errorf("took over %+v", e)
+	}
+	first.c.Close()
+	second := r.owner()
+	second.say(`{"op":"test","call":"0000000000000001","with":{},"why":0}`)
+	second.hear()
+	release <- true
+	if m := second.hear(); m == nil || m.Op != jsonline.End || m.Call != call || m.Cause() != 16 {
+		t.Errorf("heard %+v", m)
+	}
+	second.say(`{"op":"test","call":"0000000000000002","with":{},"why":0}`)
+	if m := second.hear(); m == nil || m.Op != jsonline.Tested {
+		t.Errorf("then heard %+v", m)
+	}
+}
+
+// An owner that ends what stands is owed no release; the machine is told.
+func TestOwnerEnds(t *testing.T) {
+	addr := listen(t, func(m *peer) {
+		m.hear()
+		m.say(`{"op":"accept","call":"` + call + `","with":{},"desc":"d"}`)
+		if msg := m.hear(); msg == nil || msg.Op != jsonline.End {
+			t.Errorf("the machine heard %+v", msg)
+		}
+		m.say(`{"op":"end","call":"` + call + `","with":{},"why":31}`)
+		m.hear()
+	})
+	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	o, other := r.owner(), r.owner()
+	o.say(setUp(call, ""))
+	o.hear()
+	other.say(`{"op":"end","call":"` + call + `","with":{},"why":16}`)
+	if e := await[placer.Ended](r, nil); e.Outcome != placer.Stopped || !e.Over {
+		t.Errorf("got %+v", e)
+	}
+	o.say(`{"op":"test","call":"0000000000000001","with":{},"why":0}`)
+	if m := o.hear(); m == nil || m.Op != jsonline.Tested {
+		t.Errorf("the owner heard %+v", m)
+	}
+}
+
+// The bus is followed over breaks, doubled events, silence and a new address, and nothing is taken in twice.
+func TestBus(t *testing.T) {
+	type talk struct {
+		from string
+		p    *peer
+	}
+	next := func() (string, chan talk) {
+		calls := make(chan talk, 10)
+		done := make(chan bool)
+		t.Cleanup(func() { close(done) })
+		return listen(t, func(b *peer) {
+			line, _ := b.r.ReadString('\n')
+			calls <- talk{strings.TrimSpace(line), b}
+			if _, err := b.r.ReadString('\n'); err == nil {
+				t.Error("the placer said more")
+			}
+		}), calls
+	}
+	old, calls := next()
+	r := start(t, bidToA(0), file(old, 256, event(1, true, host("a", "127.0.0.1:1", "ready", 0))))
+	list := func(version int64) {
+		t.Helper()
+		if e := await[placer.ListCame](r, nil); e.Version != version {
+			t.Errorf("version %d came, want %d", e.Version, version)
+		}
+	}
+	list(1)
+	follow := func(calls chan talk, from string) *peer {
+		t.Helper()
+		select {
+		case c := <-calls:
+			if c.from != from {
+				t.Errorf("asked %q, want %q", c.from, from)
+			}
+			return c.p
+		case <-time.After(patience):
+			t.Fatal("the bus was not asked")
+			return nil
+		}
+	}
+	b := follow(calls, "from 1")
+	b.say(event(1, true), event(2, false, host("a", "127.0.0.1:1", "draining", 0)), event(2, false), `{"offset":2}`)
+	list(2)
+	fmt.Fprint(b.c, `{"offset":3,"topo`) // broken off
+	b.c.Close()
+	b = follow(calls, "from 2")
+	b.say(`{"offset":4}`) // 3 and 4 were never told
+	b = follow(calls, "from 2")
+	b.say(event(3, false), event(4, false))
+	list(3)
+	list(4)
+	// now silence
+	b = follow(calls, "from 4")
+	later, moved := next()
+	d := *r.p.d
+	d.Bus = later
+	r.p.Renew(&d)
+	b = follow(moved, "from 4")
+	b.say(event(5, true))
+	list(5)
+}
+
+// Told to leave, a placer answers what it has and ends.
+func TestLeave(t *testing.T) {
+	hold := make(chan bool)
+	addr := listen(t, func(m *peer) {
+		msg := m.hear()
+		<-hold
+		m.say(`{"op":"accept","call":"` + msg.Call + `","with":{},"desc":"d"}`)
+		m.hear()
+	})
+	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	o := r.owner()
+	o.say(setUp(call, ""))
+	await[placer.Asked](r, nil)
+	r.p.Leave()
+	o.say(`{"op":"test","call":"0000000000000001","with":{},"why":0}`)
+	if m := o.hear(); m == nil || m.Cause() != jsonline.Failed {
+		t.Errorf("a test was answered %+v", m)
+	}
+	close(hold)
+	if m := o.hear(); m == nil || m.Op != jsonline.Accept {
+		t.Errorf("answered %+v", m)
+	}
+	if m := o.hear(); m != nil {
+		t.Errorf("then heard %+v", m)
+	}
+}
