--- a/internal/platform/helpers_test.go
+++ b/internal/platform/helpers_test.go
@@ -200,8 +200,8 @@
 	return l.Addr().String()
 }
 
-// machine answers each set-up with lines; %s is its call.
-func machine(t *testing.T, lines ...string) string {
+// machineThat answers each set-up with lines; %s is its call.
+func machineThat(t *testing.T, lines ...string) string {
 	return listen(t, func(m *peer) {
 		for msg := m.hear(); msg != nil; msg = m.hear() {
 			if msg.Op != jsonline.Offer {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -80,7 +80,7 @@
 		{"says nothing", nil, placer.TimedOut, 0, false, []int{41}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
-			addr := machine(t, tc.says...)
+			addr := machineThat(t, tc.says...)
 			r := start(t, bidToA(300*placer.Millisecond), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
 			o := r.owner()
 			o.say(setUp(call, ""))
--- a/internal/porter/porter_test.go
+++ b/internal/porter/porter_test.go
@@ -21,7 +21,7 @@
 	const most = 8
 	for _, tc := range []struct {
 		name string
-		at   Time                       // when one more comes
+		at   Time                      // when one more comes
 		told func(id CallerID) []Event // what happened to each of those before
 		want CallerID
 	}{
@@ -33,11 +33,12 @@
 			}
 			return []Event{Answered{Caller: id}}
 		}, 5},
-		{"all served, one not used since", Second, func(id CallerID) []Event {
-			if id == 3 {
-				return []Event{Answered{Caller: id}}
+		{"all served, the one not used for longest", Second, func(id CallerID) []Event {
+			if id == 8 { // all but the third are heard again
+				return []Event{Heard{Caller: 8}, Answered{Caller: 8}, Answered{Caller: 1}, Heard{Caller: 2}, Heard{Caller: 4},
+					Heard{Caller: 5}, Heard{Caller: 6}, Heard{Caller: 7}}
 			}
-			return []Event{Answered{Caller: id}, Tick{}, Heard{Caller: id}}
+			return []Event{Answered{Caller: id}}
 		}, 3},
 		{"one without a set-up", Second, func(id CallerID) []Event {
 			if id == 6 {
