A vigil tells when what stood at a silent or gone machine is lost

Change: internal/vigil, pure; the bus's gone and new starts end what stood; a release is kept until its owner says it heard it, else told again elsewhere.

--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -10,7 +11,10 @@
 	"glenport/internal/jsonline"
 	"glenport/internal/loop"
 	"glenport/internal/porter"
+	"glenport/internal/vigil"
 	"glenport/placer"
+
+	"golang.org/x/sys/unix"
 )
 
 const outputOfLink = 256 << 10
@@ -25,6 +29,30 @@
 	started placer.Time
 	links   []*link
 	bids    map[placer.ContainerID]*bid // out, or standing there
+
+	standing int
+}
+
+// stand counts what stands at a machine.
+func (m *machine) stand(n int) {
+	m.standing += n
+	m.p.notice(vigil.Stands{Machine: string(m.id), Count: m.standing})
+}
+
+// heard is a sign of life of a machine.
+func (m *machine) heard() {
+	if m.standing > 0 {
+		m.p.notice(vigil.Heard{Machine: string(m.id)})
+	}
+}
+
+// lose ends what has stood at a machine since before a moment: it is gone with the machine, or with that start of it.
+func (m *machine) lose(before loop.Tick) {
+	for _, id := range slices.Sorted(maps.Keys(m.bids)) {
+		if b := m.bids[id]; b.stands && b.sentAt <= before {
+			m.p.released(b, jsonline.Temporary, placer.Ended{Outcome: placer.Reset})
+		}
+	}
 }
 
 // link is one connection to a machine.
@@ -74,11 +102,16 @@
 		if h.addr != "" {
 			m.addr = h.addr
 		}
-		m.state, m.started = h.entry.State, h.entry.StartedAt
+		if m.state, m.started = h.entry.State, h.entry.StartedAt; m.started > 0 {
+			m.lose(loop.Tick(m.started))
+		}
 		list.Entries = append(list.Entries, h.entry)
 	}
 	p.feed(list)
 	for _, m := range p.ordered() {
+		if m.state == placer.Gone {
+			m.lose(p.loop.Now())
+		}
 		m.settle()
 	}
 }
@@ -152,6 +185,7 @@
 
 func (l *link) Opened(*loop.Conn) {
 	l.opened = true
+	l.m.heard()
 	waiting := l.waiting
 	l.waiting = nil
 	for _, do := range waiting {
@@ -160,6 +194,7 @@
 }
 
 func (l *link) Read(c *loop.Conn, b []byte) {
+	l.m.heard()
 	if err := l.lines.Feed(b, l.line); err != nil {
 		l.m.p.log.Debug("link broken", "machine", l.m.id, "why", err)
 		c.Reset()
@@ -172,6 +207,9 @@
 	m.links = slices.DeleteFunc(m.links, func(x *link) bool { return x == l })
 	l.waiting = nil
 	short := errors.Is(why, loop.ErrShort)
+	if !l.opened && errors.Is(why, unix.ECONNREFUSED) {
+		p.notice(vigil.Refused{Machine: string(m.id)})
+	}
 	for _, b := range l.ordered() {
 		switch {
 		case b.sent:
@@ -367,6 +405,7 @@
 	p.loop.Cancel(b.timer)
 	delete(b.link.bids, b)
 	b.stands = true
+	b.at.stand(1)
 	p.feed(placer.Placed{ID: c.ask.ID, Bid: b.nth, Machine: b.at.id, Took: placer.Time(p.loop.Now() - b.sentAt)})
 	p.answer(c.ask.ID, &jsonline.Message{Op: jsonline.Accept, Desc: msg.Desc})
 	return nil
@@ -413,19 +452,13 @@
 
 // house closes links before the machine does, and keeps one where something stands: its end is told there.
 func (m *machine) house(now loop.Tick) {
-	stands := 0
-	for _, b := range m.bids {
-		if b.stands {
-			stands++
-		}
-	}
 	for i, l := range slices.Clone(m.links) {
-		here := porter.Link{First: i == 0, Stands: stands > 0, Idle: porter.Time(now - l.usedAt), Closes: porter.Time(m.p.d.IdleLinks)}
+		here := porter.Link{First: i == 0, Stands: m.standing > 0, Idle: porter.Time(now - l.usedAt), Closes: porter.Time(m.p.d.IdleLinks)}
 		if len(l.bids)+len(l.probes)+len(l.waiting) == 0 && !here.Keeps() {
 			l.conn.Close()
 		}
 	}
-	if stands > 0 && len(m.links) == 0 && m.addr != "" && m.state != placer.Gone {
+	if m.standing > 0 && len(m.links) == 0 && m.addr != "" && m.state != placer.Gone {
 		m.reach()
 	}
 }
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -26,13 +27,16 @@
 	conn   *loop.Conn
 	lines  jsonline.Lines
 	served bool // something was sent to it
+
+	unheard map[string]*jsonline.Message // releases, until their owner says that it heard them
 }
 
 func (k *caller) id() porter.CallerID { return porter.CallerID(k.number) }
 
 func (p *Platform) accept() (loop.Handler, int) {
 	p.lastCaller++
-	return &caller{p: p, number: p.lastCaller, lines: jsonline.Lines{Most: jsonline.MostBytes}}, outputOfCaller
+	return &caller{p: p, number: p.lastCaller, lines: jsonline.Lines{Most: jsonline.MostBytes},
+		unheard: map[string]*jsonline.Message{}}, outputOfCaller
 }
 
 func (k *caller) Opened(c *loop.Conn) {
@@ -68,6 +72,10 @@
 		}
 		c.caller = nil
 	}
+	for _, call := range slices.Sorted(maps.Keys(k.unheard)) { // they are told again elsewhere
+		p.owed = append(p.owed, k.unheard[call])
+	}
+	p.payOwed()
 }
 
 func (k *caller) write(m *jsonline.Message) bool {
@@ -88,6 +96,15 @@
 	return true
 }
 
+// release tells that a container which stood is over. It is kept until its owner has heard it.
+func (k *caller) release(m *jsonline.Message) bool {
+	if !k.write(m) {
+		return false
+	}
+	k.unheard[m.Call] = m
+	return true
+}
+
 func (k *caller) line(line []byte) error {
 	m, err := jsonline.Decode(line)
 	if err != nil {
@@ -107,6 +124,8 @@
 				p.endStanding(c, m.Cause())
 			}
 		}
+	case jsonline.Ended:
+		delete(k.unheard, m.Call)
 	case jsonline.Test:
 		passed := jsonline.Passed
 		if p.leaving {
@@ -164,6 +183,7 @@
 	c.bid = &bid{c: c, at: m, stands: true, sent: true, sentAt: p.loop.Now()}
 	p.containers[ask.ID] = c
 	m.bids[ask.ID] = c.bid
+	m.stand(1)
 	p.feed(placer.TookOver{Ask: ask, Machine: at})
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -12,6 +12,7 @@
 	"glenport/internal/jsonline"
 	"glenport/internal/loop"
 	"glenport/internal/porter"
+	"glenport/internal/vigil"
 	"glenport/placer"
 )
 
@@ -36,7 +37,9 @@
 
 	events     []placer.Event
 	porter     *porter.Porter
-	atDoor     []porter.Event                    // for the porter, at the end of the turn
+	atDoor     []porter.Event // for the porter, at the end of the turn
+	vigil      *vigil.Vigil
+	seen       []vigil.Event                     // likewise
 	containers map[placer.ContainerID]*container // until answered, without a bid and over
 	machines   map[placer.MachineID]*machine     // until gone from the bus and empty
 	callers    map[porter.CallerID]*caller       // until their connection ends
@@ -80,7 +83,7 @@
 func New(d *Deployment, decider Decider, log *slog.Logger, trace bool) (*Platform, error) {
 	p := &Platform{d: d, log: log, decider: decider, trace: trace, containers: map[placer.ContainerID]*container{},
 		machines: map[placer.MachineID]*machine{}, callers: map[porter.CallerID]*caller{},
-		porter: porter.New(d.Sockets)}
+		porter: porter.New(d.Sockets), vigil: vigil.New()}
 	p.bus = bus{p: p, addr: d.Bus, last: d.Last}
 	var err error
 	if p.loop, err = loop.New(p.turn); err != nil {
@@ -136,7 +139,8 @@
 
 func (p *Platform) feed(e placer.Event) { p.events = append(p.events, e) }
 
-func (p *Platform) tell(e porter.Event) { p.atDoor = append(p.atDoor, e) }
+func (p *Platform) tell(e porter.Event)  { p.atDoor = append(p.atDoor, e) }
+func (p *Platform) notice(e vigil.Event) { p.seen = append(p.seen, e) }
 
 func (p *Platform) turn() {
 	p.decide()
@@ -146,7 +150,13 @@
 			p.see(a)
 		}
 	}
-	if len(p.events)+len(p.atDoor) > 0 {
+	if seen := p.seen; len(seen) > 0 {
+		p.seen = nil
+		for _, a := range p.vigil.Handle(vigil.Time(p.loop.Now()), seen) {
+			p.watch(a)
+		}
+	}
+	if len(p.events)+len(p.atDoor)+len(p.seen) > 0 {
 		p.loop.Again()
 	}
 }
@@ -167,6 +177,21 @@
 	}
 }
 
+// watch does what the vigil wants done.
+func (p *Platform) watch(a vigil.Action) {
+	switch a := a.(type) {
+	case vigil.Look:
+		if m := p.machines[placer.MachineID(a.Machine)]; m != nil && m.addr != "" {
+			m.reach()
+		}
+	case vigil.Lost:
+		if m := p.machines[placer.MachineID(a.Machine)]; m != nil {
+			p.log.Info("machine lost", "machine", m.id, "standing", m.standing, "silent ms", a.Silent/10)
+			m.lose(p.loop.Now())
+		}
+	}
+}
+
 // decide hands the placer module what happened.
 func (p *Platform) decide() {
 	events := p.events
@@ -263,6 +288,9 @@
 		delete(b.link.bids, b)
 	}
 	delete(b.at.bids, c.ask.ID)
+	if b.stands {
+		b.at.stand(-1)
+	}
 	c.bid = nil
 	e.ID, e.Bid, e.Machine, e.Took = c.ask.ID, b.nth, b.at.id, placer.Time(p.loop.Now()-b.sentAt)
 	p.feed(e)
@@ -279,11 +307,10 @@
 		return
 	}
 	m := &jsonline.Message{Op: jsonline.End, Call: string(c.ask.ID), Why: jsonline.Because(cause)}
-	if c.caller != nil && c.caller.write(m) {
-		return
+	if c.caller == nil || !c.caller.release(m) {
+		p.owed = append(p.owed, m)
+		p.payOwed()
 	}
-	p.owed = append(p.owed, m)
-	p.payOwed()
 }
 
 // payOwed sends releases on any owner's connection, since what stands belongs to none.
@@ -295,7 +322,7 @@
 				to = k
 			}
 		}
-		if to == nil || !to.write(p.owed[0]) {
+		if to == nil || !to.release(p.owed[0]) {
 			return
 		}
 		p.owed = p.owed[1:]
@@ -306,6 +333,8 @@
 	p.loop.After(houseEvery, p.keepHouse)
 	now := p.loop.Now()
 	p.tell(porter.Tick{})
+	p.notice(vigil.Tick{})
+	p.payOwed()
 	for _, id := range slices.Sorted(maps.Keys(p.machines)) {
 		p.machines[id].house(now)
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -359,3 +359,101 @@
 		t.Errorf("then heard %+v", m)
 	}
 }
+
+// What stands at a machine that is gone, started anew or turns connections down is over, and its owner is told.
+func TestLostMachine(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		tells string // what the bus tells of the machine
+	}{
+		{"gone", "gone"},
+		{"new start", "ready"},
+		{"turns connections down", ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			die := make(chan bool)
+			done := make(chan bool)
+			go func() {
+				defer close(done)
+				defer l.Close()
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer c.Close()
+				m := newPeer(t, c)
+				m.hear()
+				m.say(`{"op":"accept","call":"` + call + `","with":{},"desc":"d"}`)
+				l.Close()
+				<-die
+			}()
+			told := make(chan string, 1)
+			bus := listen(t, func(b *peer) {
+				b.r.ReadString('\n')
+				if line, ok := <-told; ok {
+					b.say(line)
+				}
+				b.r.ReadString('\n')
+			})
+			r := start(t, bidToA(0), file(bus, 256, event(1, true, host("a", l.Addr().String(), "ready", 0))))
+			o := r.owner()
+			o.say(setUp(call, ""))
+			if m := o.hear(); m == nil || m.Op != jsonline.Accept {
+				t.Fatalf("answered %+v", m)
+			}
+			if tc.tells == "" {
+				close(told)
+				close(die)
+			} else {
+				told <- event(2, false, host("a", l.Addr().String(), tc.tells, time.Now().UnixMilli()+1))
+				defer close(die)
+			}
+			if m := o.hear(); m == nil || m.Op != jsonline.End || m.Call != call || m.Cause() != jsonline.Temporary {
+				t.Errorf("heard %+v", m)
+			}
+			if e := await[placer.Ended](r, nil); e.Outcome != placer.Reset || !e.Over {
+				t.Errorf("got %+v", e)
+			}
+			if tc.tells == "" {
+				<-done
+			}
+		})
+	}
+}
+
+// A release that its owner has not heard when the connection ends is told again on another one.
+func TestReleaseToldAgain(t *testing.T) {
+	addr := machineThat(t, `{"op":"accept","call":"%s","with":{},"desc":"d"}`, `{"op":"end","call":"%s","with":{},"why":16}`)
+	for _, heard := range []bool{false, true} {
+		t.Run(fmt.Sprint("heard ", heard), func(t *testing.T) {
+			r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+			o := r.owner()
+			o.say(setUp(call, ""))
+			o.hear()
+			o.hear()
+			if heard {
+				o.say(`{"op":"ended","call":"`+call+`","with":{}}`, `{"op":"test","call":"0000000000000001","with":{},"why":0}`)
+				o.hear()
+			}
+			o.c.Close()
+			other := r.owner()
+			other.say(`{"op":"test","call":"0000000000000002","with":{},"why":0}`)
+			want := []jsonline.Op{jsonline.Tested, jsonline.End, jsonline.Tested}
+			if heard {
+				want = []jsonline.Op{jsonline.Tested, jsonline.Tested}
+			}
+			for i, op := range want {
+				if i == len(want)-1 {
+					other.say(`{"op":"test","call":"0000000000000003","with":{},"why":0}`)
+				}
+				if m := other.hear(); m == nil || m.Op != op || op == jsonline.End && m.Call != call {
+					t.Fatalf("heard %+v, want %s", m, op)
+				}
+			}
+		})
+	}
+}
