Ends are told to callers that speak for owners, one after the other until one has heard

Ruled out: the restart itself (the first is 1.5 s before n0 was told to leave) and the machine's word. Change: the porter knows who speaks for owners (a yes, an end heard, work named that stands), tells those first, tells on after 250 ms until an end is heard of, and keeps their connections before others'.

--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -26,17 +25,13 @@
 	number int
 	conn   *loop.Conn
 	lines  jsonline.Lines
-	served bool // something was sent to it
-
-	unheard map[string]*jsonline.Message // releases, until their owner says that it heard them
 }
 
 func (k *caller) id() porter.CallerID { return porter.CallerID(k.number) }
 
 func (p *Platform) accept() (loop.Handler, int) {
 	p.lastCaller++
-	return &caller{p: p, number: p.lastCaller, lines: jsonline.Lines{Most: jsonline.MostBytes},
-		unheard: map[string]*jsonline.Message{}}, outputOfCaller
+	return &caller{p: p, number: p.lastCaller, lines: jsonline.Lines{Most: jsonline.MostBytes}}, outputOfCaller
 }
 
 func (k *caller) Opened(c *loop.Conn) {
@@ -72,10 +67,6 @@
 		}
 		c.caller = nil
 	}
-	for _, call := range slices.Sorted(maps.Keys(k.unheard)) { // they are told again elsewhere
-		p.owed = append(p.owed, k.unheard[call])
-	}
-	p.payOwed()
 }
 
 func (k *caller) write(m *jsonline.Message) bool {
@@ -92,16 +83,6 @@
 		k.conn.Reset()
 		return false
 	}
-	k.served = true
-	return true
-}
-
-// release tells that a container which stood is over. It is kept until its owner has heard it.
-func (k *caller) release(m *jsonline.Message) bool {
-	if !k.write(m) {
-		return false
-	}
-	k.unheard[m.Call] = m
 	return true
 }
 
@@ -125,7 +106,8 @@
 			}
 		}
 	case jsonline.Ended:
-		delete(k.unheard, m.Call)
+		p.tell(porter.HeardOver{Call: m.Call})
+		p.tell(porter.Proved{Caller: k.id()})
 	case jsonline.Test:
 		passed := jsonline.Passed
 		if p.leaving {
@@ -133,7 +115,6 @@
 		}
 		k.write(&jsonline.Message{Op: jsonline.Tested, Call: m.Call, Why: jsonline.Because(passed)})
 		p.tell(porter.Answered{Caller: k.id()})
-		p.payOwed()
 	}
 	return nil
 }
@@ -158,6 +139,7 @@
 		return nil
 	}
 	if at != "" {
+		p.tell(porter.Proved{Caller: k.id()})
 		p.takeOver(k, ask, at)
 		return nil
 	}
@@ -201,7 +183,7 @@
 	}
 	at = placer.MachineID(extras["at"])
 	ask = placer.Ask{ID: placer.ContainerID(m.Call), Key: m.With["key"], Service: extras["service"],
-		Workload: slices.Index(d.workloads, m.With["class"]), Again: m.With["retry"] == "1"}
+		Workload: slices.Index(d.workloads, m.With["class"]), Again: m.With["retry"] == "1" || extras["again"] == "1"}
 	if ask.Workload < 0 {
 		return ask, at, fmt.Errorf("class: %q is not known", m.With["class"])
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -43,7 +43,6 @@
 	containers map[placer.ContainerID]*container // until answered, without a bid and over
 	machines   map[placer.MachineID]*machine     // until gone from the bus and empty
 	callers    map[porter.CallerID]*caller       // until their connection ends
-	owed       []*jsonline.Message               // releases that no owner's connection could take; emptied as one opens
 	bus        bus
 	scratch    []byte
 	lastProbe  uint64
@@ -169,6 +168,10 @@
 			p.log.Debug("caller let go", "caller", k.number, "why", a.Why)
 			k.conn.Close()
 		}
+	case porter.Tell:
+		if k := p.callers[a.Caller]; k != nil {
+			k.write(&jsonline.Message{Op: jsonline.End, Call: a.Call, Why: jsonline.Because(a.Cause)})
+		}
 	case porter.Rest:
 		if k := p.callers[a.Caller]; k != nil {
 			k.conn.Rest(true)
@@ -247,6 +250,9 @@
 		m.Call = string(id)
 		c.caller.write(m)
 		p.tell(porter.Answered{Caller: c.caller.id(), Closed: 1})
+		if m.Op == jsonline.Accept {
+			p.tell(porter.Proved{Caller: c.caller.id()})
+		}
 	}
 	if c.bid != nil && !c.bid.stands {
 		p.callOff(c.bid)
@@ -306,27 +312,11 @@
 	if b.ended || cause == jsonline.Cancelled {
 		return
 	}
-	m := &jsonline.Message{Op: jsonline.End, Call: string(c.ask.ID), Why: jsonline.Because(cause)}
-	if c.caller == nil || !c.caller.release(m) {
-		p.owed = append(p.owed, m)
-		p.payOwed()
-	}
-}
-
-// payOwed sends releases on any owner's connection, since what stands belongs to none.
-func (p *Platform) payOwed() {
-	for len(p.owed) > 0 {
-		var to *caller
-		for _, k := range p.callers {
-			if k.served && (to == nil || k.number > to.number) {
-				to = k
-			}
-		}
-		if to == nil || !to.release(p.owed[0]) {
-			return
-		}
-		p.owed = p.owed[1:]
+	over := porter.Over{Call: string(c.ask.ID), Cause: cause}
+	if c.caller != nil {
+		over.Caller = c.caller.id()
 	}
+	p.tell(over)
 }
 
 func (p *Platform) keepHouse() {
@@ -334,12 +324,11 @@
 	now := p.loop.Now()
 	p.tell(porter.Tick{})
 	p.notice(vigil.Tick{})
-	p.payOwed()
 	for _, id := range slices.Sorted(maps.Keys(p.machines)) {
 		p.machines[id].house(now)
 	}
 	p.bus.house(now)
-	if p.leaving && now-p.leavingAt > loop.Second && p.unanswered() == 0 {
+	if p.leaving && !porter.Stays(porter.Time(now-p.leavingAt), p.unanswered()) {
 		p.log.Info("left", "standing", len(p.containers))
 		p.loop.Stop()
 	}
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -338,6 +338,9 @@
 	hold := make(chan bool)
 	addr := listen(t, func(m *peer) {
 		msg := m.hear()
+		if msg == nil {
+			return // a look
+		}
 		<-hold
 		m.say(`{"op":"accept","call":"` + msg.Call + `","with":{},"desc":"d"}`)
 		m.hear()
--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -1,5 +1,6 @@
-// Package porter decides which connections a placer keeps while it has few descriptors: which callers at its door are
-// let go or left waiting, and how many links a machine may have and for how long. It does no I/O and has no clock.
+// Package porter decides on the connections of a placer: which callers at its door are let go or left waiting while
+// descriptors are few, which of them is told that a container which stood is over, and how many links a machine may
+// have and for how long. It does no I/O and has no clock.
 package porter
 
 import (
@@ -24,7 +25,12 @@
 	settled     = Second / 5       // a caller younger than this may have a set-up on the way
 	firstRest   = 50 * Millisecond // after a message that was turned away; it doubles with each more
 	longestRest = Second
-	idleLink    = 5 * Second // a link beyond a machine's first that carries nothing is closed after it
+	staleAfter  = 4 * Second  // owners close a connection of their own that was unused for so long
+	tellAgain   = Second / 4  // after this, who was told of an end has not heard it
+	tellSome    = Second      // until then only an owner who has shown that work of his stands is told
+	tellUntil   = 10 * Second // then an end that nobody hears is dropped
+	leavesAfter = 3 * Second  // a placer told to leave takes in what is on its way, and tells ends, for so long
+	idleLink    = 5 * Second  // a link beyond a machine's first that carries nothing is closed after it
 )
 
 // CallerID numbers the callers in the order in which they came.
@@ -46,8 +52,17 @@
 	}
 	TookBack   struct{ Caller CallerID } // its owner gave a set-up up
 	TurnedAway struct{ Caller CallerID } // a message that nothing can be done with was answered
-	Left       struct{ Caller CallerID }
-	Tick       struct{} // some time has passed
+	// Proved tells that a caller speaks for owners: it was given a yes, heard of an end, or named what stands.
+	Proved struct{ Caller CallerID }
+	Left   struct{ Caller CallerID }
+	// Over is a container that stood and has ended; Caller is who asked for it, 0 where that has left.
+	Over struct {
+		Call   string
+		Cause  int
+		Caller CallerID
+	}
+	HeardOver struct{ Call string } // some caller has heard of that end
+	Tick      struct{}              // some time has passed
 )
 
 func (Came) event()       {}
@@ -56,7 +71,10 @@
 func (Answered) event()   {}
 func (TookBack) event()   {}
 func (TurnedAway) event() {}
+func (Proved) event()     {}
 func (Left) event()       {}
+func (Over) event()       {}
+func (HeardOver) event()  {}
 func (Tick) event()       {}
 
 // Action is something that the host is to do.
@@ -68,6 +86,12 @@
 		Caller CallerID
 		Why    string
 	}
+	// Tell tells a caller that a container is over.
+	Tell struct {
+		Call   string
+		Cause  int
+		Caller CallerID
+	}
 	// Rest leaves what a caller sends unread for a while.
 	Rest struct {
 		Caller CallerID
@@ -76,13 +100,25 @@
 )
 
 func (LetGo) action() {}
+func (Tell) action()  {}
 func (Rest) action()  {}
 
-// Porter knows the callers at one door. Its one table is emptied by Left.
+// Porter knows the callers at one door, until they have left, and the ends that nobody has heard of yet, for
+// tellUntil at most.
 type Porter struct {
 	most    int
 	callers map[CallerID]*caller
 	staying int // callers that were not told to go
+	ends    []*end
+}
+
+type end struct {
+	call  string
+	cause int
+	since Time
+	to    CallerID // who was told last; 0: nobody
+	at    Time
+	tried []CallerID
 }
 
 type caller struct {
@@ -92,6 +128,7 @@
 	half   Time // since when a message is not whole; 0: none is under way
 	open   int  // set-ups without an answer
 	sent   bool
+	proved bool
 	rest   Time
 	going  bool
 }
@@ -144,7 +181,32 @@
 					p.staying--
 				}
 			}
+			for _, x := range p.ends {
+				if x.to == e.Caller {
+					out = p.tell(now, x, out)
+				}
+			}
+		case Proved:
+			if c := p.callers[e.Caller]; c != nil {
+				c.proved = true
+			}
+		case Over:
+			x := &end{call: e.Call, cause: e.Cause, since: now}
+			p.ends = append(p.ends, x)
+			if c := p.callers[e.Caller]; c != nil && !c.going {
+				out = p.tellTo(now, x, c, out)
+			} else {
+				out = p.tell(now, x, out)
+			}
+		case HeardOver:
+			p.ends = slices.DeleteFunc(p.ends, func(x *end) bool { return x.call == e.Call })
 		case Tick:
+			p.ends = slices.DeleteFunc(p.ends, func(x *end) bool { return now-x.since > tellUntil })
+			for _, x := range p.ends {
+				if x.to == 0 || now-x.at >= tellAgain {
+					out = p.tell(now, x, out)
+				}
+			}
 			for _, c := range p.sorted() {
 				switch {
 				case c.going || c.open > 0:
@@ -159,6 +221,27 @@
 	return out
 }
 
+// tell names the caller that hears of an end: the one used last of those that speak for owners and have not been told,
+// and if there is none for a while, of all that have been answered. With none left, whoever was told may hear it yet.
+func (p *Porter) tell(now Time, x *end, out []Action) []Action {
+	var to *caller
+	for _, c := range p.sorted() {
+		fits := !c.going && (c.proved || c.sent && now-x.since >= tellSome) && !slices.Contains(x.tried, c.id)
+		if fits && (to == nil || c.proved && !to.proved || c.proved == to.proved && c.usedAt >= to.usedAt) {
+			to = c
+		}
+	}
+	if to == nil {
+		return out
+	}
+	return p.tellTo(now, x, to, out)
+}
+
+func (p *Porter) tellTo(now Time, x *end, c *caller, out []Action) []Action {
+	x.to, x.at, x.tried = c.id, now, append(x.tried, c.id)
+	return append(out, Tell{x.call, x.cause, c.id})
+}
+
 func (p *Porter) letGo(c *caller, why string, out []Action) []Action {
 	c.going = true
 	p.staying--
@@ -174,15 +257,21 @@
 	return out
 }
 
-// makeRoom lets one caller go that awaits nothing: first one that came some time ago and has asked nothing, then the one
-// unused for longest, then the newest. Where all await something the newest goes, and what it asked is taken back.
+// makeRoom lets one caller go that awaits nothing: first one that came some time ago and has asked nothing, then one that
+// never spoke for an owner, then a connection that its owner has left unused, then the newest, then the one used last
+// longest ago. Where all await something the newest goes, and what it asked is taken back.
 func (p *Porter) makeRoom(now Time, out []Action) []Action {
+	const fresh, awaits = 3, 5
 	rank := func(c *caller) int {
 		switch {
 		case c.open > 0:
-			return 3
-		case now-c.came < settled:
+			return awaits
+		case c.proved && now-c.usedAt > staleAfter:
 			return 2
+		case c.proved:
+			return 4
+		case now-c.came < settled:
+			return fresh
 		case c.sent:
 			return 1
 		}
@@ -195,7 +284,7 @@
 		case worst == nil || rank(c) < rank(worst):
 			worst = c
 		case rank(c) > rank(worst):
-		case rank(c) >= 2 || c.usedAt < worst.usedAt: // of two that are new, or await something, the newer
+		case rank(c) == fresh || rank(c) == awaits || c.usedAt < worst.usedAt:
 			worst = c
 		}
 	}
@@ -224,3 +313,6 @@
 	}
 	return l.Idle < min(idleLink, l.Closes/2)
 }
+
+// Stays tells whether a placer that was told to leave so long ago, with so many set-ups unanswered, stays.
+func Stays(since Time, unanswered int) bool { return since < leavesAfter || unanswered > 0 }
--- a/internal/porter/porter_test.go
+++ b/internal/porter/porter_test.go
@@ -131,3 +131,70 @@
 		t.Errorf("%d and %d links a machine", a, b)
 	}
 }
+
+// An end is told to who asked, else to callers that speak for owners, one after the other until one has heard it.
+func TestTell(t *testing.T) {
+	const tenth = Second / 10
+	served := func(id CallerID) []Event { return []Event{Came{id}, Asked{id}, Answered{id, 1}} }
+	owner := func(id CallerID) []Event { return append(served(id), Proved{id}) }
+	for _, tc := range []struct {
+		name   string
+		before []Event
+		asker  CallerID
+		then   map[Time]Event // after tenths of a second
+		want   []CallerID
+	}{
+		{"the asker is there and hears", owner(1), 1, map[Time]Event{1: HeardOver{"x"}}, []CallerID{1}},
+		{"the asker has left", slices.Concat(owner(1), served(2), owner(3), served(4), []Event{Left{1}}), 1,
+			map[Time]Event{1: HeardOver{"x"}}, []CallerID{3}},
+		{"the asker leaves before it hears", slices.Concat(owner(1), owner(2)), 1, map[Time]Event{1: Left{1}, 2: HeardOver{"x"}}, []CallerID{1, 2}},
+		{"nobody says that he heard", slices.Concat(owner(1), owner(2), owner(3), served(4)), 2, nil, []CallerID{2, 3, 1, 4}},
+		{"another end is heard of", slices.Concat(owner(1), owner(2)), 1, map[Time]Event{1: HeardOver{"y"}}, []CallerID{1, 2}},
+		{"only callers that never spoke for owners", served(4), 0, map[Time]Event{15: HeardOver{"x"}}, []CallerID{4}},
+		{"an owner comes later", served(4), 0, map[Time]Event{4: Came{5}, 5: Proved{5}, 9: HeardOver{"x"}}, []CallerID{5}},
+		{"nobody is there", nil, 0, nil, nil},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			p := New(100)
+			var got []CallerID
+			see := func(now Time, e Event) {
+				for _, a := range p.Handle(now, []Event{e}) {
+					if a, ok := a.(Tell); ok {
+						if a.Call != "x" || a.Cause != 16 {
+							t.Errorf("told %+v", a)
+						}
+						got = append(got, a.Caller)
+					}
+				}
+			}
+			for _, e := range tc.before {
+				see(1, e)
+			}
+			see(2, Over{"x", 16, tc.asker})
+			for i := Time(1); i <= 110; i++ {
+				if e := tc.then[i]; e != nil {
+					see(i*tenth, e)
+				}
+				see(i*tenth, Tick{})
+			}
+			if !slices.Equal(got, tc.want) {
+				t.Errorf("told %v, want %v", got, tc.want)
+			}
+			if len(p.ends) > 0 {
+				t.Errorf("%d ends kept", len(p.ends))
+			}
+		})
+	}
+}
+
+func TestStays(t *testing.T) {
+	for _, tc := range []struct {
+		since      Time
+		unanswered int
+		want       bool
+	}{{Second, 0, true}, {3 * Second, 0, false}, {3 * Second, 1, true}} {
+		if got := Stays(tc.since, tc.unanswered); got != tc.want {
+			t.Errorf("after %d with %d unanswered: %t", tc.since, tc.unanswered, got)
+		}
+	}
+}
