Links by which something stands stay, and a broken one is replaced at once

Left, and built on: an end that crosses the close of a link idle for 5 s (machine.house) is said again only on the next link opened, and none was. TestEndAfterBreak shows that loss on the old code.

--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -31,6 +31,7 @@
 	bids    map[placer.ContainerID]*bid // out, or standing there
 
 	standing int
+	broke    bool // a link was lost since something stands: the machine tells on the next one what it said on that
 }
 
 // stand counts what stands at a machine.
@@ -64,6 +65,8 @@
 	bids    map[*bid]bool       // waiting for it or out on it, until their answer
 	probes  map[string]*probing // by their call, until their answer or time-out
 	waiting []func()            // what goes out once it stands
+	stands  int                 // containers that stand and whose set-ups it carried
+	left    bool                // closed as nothing is awaited on it
 	usedAt  loop.Tick
 }
 
@@ -130,21 +133,27 @@
 	if m.state != placer.Gone || len(m.bids) > 0 {
 		return
 	}
-	for _, l := range slices.Clone(m.links) {
-		if len(l.bids)+len(l.probes) > 0 {
+	for _, l := range m.links {
+		if !l.idle() {
 			return
 		}
 	}
-	for _, l := range slices.Clone(m.links) {
-		l.conn.Close()
-	}
+	m.closeIdle()
 	delete(m.p.machines, m.id)
 }
 
+// leave closes a link on which nothing is awaited.
+func (l *link) leave() {
+	l.left = true
+	l.conn.Close()
+}
+
+func (l *link) idle() bool { return len(l.bids)+len(l.probes)+len(l.waiting) == 0 }
+
 func (m *machine) closeIdle() {
 	for _, l := range slices.Clone(m.links) {
-		if len(l.bids)+len(l.probes)+len(l.waiting) == 0 {
-			l.conn.Close()
+		if l.idle() {
+			l.leave()
 		}
 	}
 }
@@ -206,6 +215,7 @@
 	m, p := l.m, l.m.p
 	m.links = slices.DeleteFunc(m.links, func(x *link) bool { return x == l })
 	l.waiting = nil
+	m.broke = m.broke || l.opened && !l.left
 	short := errors.Is(why, loop.ErrShort)
 	if !l.opened && errors.Is(why, unix.ECONNREFUSED) {
 		p.notice(vigil.Refused{Machine: string(m.id)})
@@ -405,6 +415,7 @@
 	p.loop.Cancel(b.timer)
 	delete(b.link.bids, b)
 	b.stands = true
+	b.link.stands++
 	b.at.stand(1)
 	p.feed(placer.Placed{ID: c.ask.ID, Bid: b.nth, Machine: b.at.id, Took: placer.Time(p.loop.Now() - b.sentAt)})
 	p.answer(c.ask.ID, &jsonline.Message{Op: jsonline.Accept, Desc: msg.Desc})
@@ -450,15 +461,19 @@
 	p.feed(placer.Probed{Machine: q.link.m.id, Outcome: o, Took: placer.Time(p.loop.Now() - q.sentAt), Report: r})
 }
 
-// house closes links before the machine does, and keeps one where something stands: its end is told there.
+// house closes links before the machine does, and keeps one where something stands: its end is told there. Where one broke,
+// a new one is opened, as an end that was on its way is told again on that.
 func (m *machine) house(now loop.Tick) {
 	for i, l := range slices.Clone(m.links) {
-		here := porter.Link{First: i == 0, Stands: m.standing > 0, Idle: porter.Time(now - l.usedAt), Closes: porter.Time(m.p.d.IdleLinks)}
-		if len(l.bids)+len(l.probes)+len(l.waiting) == 0 && !here.Keeps() {
-			l.conn.Close()
+		here := porter.Link{First: i == 0, Stands: m.standing > 0, Here: l.stands > 0,
+			Idle: porter.Time(now - l.usedAt), Closes: porter.Time(m.p.d.IdleLinks)}
+		if l.idle() && !here.Keeps() {
+			l.leave()
 		}
 	}
-	if m.standing > 0 && len(m.links) == 0 && m.addr != "" && m.state != placer.Gone {
+	reach := m.broke || len(m.links) == 0
+	m.broke = false
+	if m.standing > 0 && reach && m.addr != "" && m.state != placer.Gone {
 		m.reach()
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -295,6 +295,9 @@
 	}
 	delete(b.at.bids, c.ask.ID)
 	if b.stands {
+		if b.link != nil {
+			b.link.stands--
+		}
 		b.at.stand(-1)
 	}
 	c.bid = nil
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -460,3 +460,33 @@
 		})
 	}
 }
+
+// An end that was on its way as its link broke is heard on the next link, which is opened for it.
+func TestEndAfterBreak(t *testing.T) {
+	first := make(chan bool, 10)
+	first <- true
+	addr := listen(t, func(m *peer) {
+		if len(first) == 0 {
+			m.say(`{"op":"end","call":"` + call + `","with":{},"why":16}`)
+			m.hear()
+			return
+		}
+		<-first
+		m.hear()
+		m.say(`{"op":"accept","call":"`+call+`","with":{},"desc":"d"}`, "noise")
+		m.hear()
+	})
+	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	o := r.owner()
+	o.say(setUp(call, ""))
+	if m := o.hear(); m == nil || m.Op != jsonline.Accept {
+		t.Fatalf("answered %+v", m)
+	}
+	began := time.Now()
+	if m := o.hear(); m == nil || m.Op != jsonline.End || m.Cause() != 16 {
+		t.Errorf("heard %+v", m)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("told after %v", took)
+	}
+}
--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -297,7 +297,8 @@
 // Link is what counts when it is asked whether a link stays.
 type Link struct {
 	First  bool // the machine's
-	Stands bool // a container stands at the machine: its end is told on the first link
+	Stands bool // a container stands at the machine,
+	Here   bool // and its set-up went over this link: its end will come here, and could cross a close
 	Idle   Time // since when it has carried nothing
 	Closes Time // the machine closes a link that is idle for so long
 }
@@ -306,7 +307,7 @@
 // crosses such a close may have run.
 func (l Link) Keeps() bool {
 	switch {
-	case l.First && l.Stands:
+	case l.Here || l.First && l.Stands:
 		return true
 	case l.First:
 		return l.Idle < l.Closes/2
--- a/internal/porter/porter_test.go
+++ b/internal/porter/porter_test.go
@@ -118,6 +118,7 @@
 		{"first, used lately", Link{First: true, Idle: 14 * Second, Closes: 30 * Second}, true},
 		{"first, idle", Link{First: true, Idle: 15 * Second, Closes: 30 * Second}, false},
 		{"one more, used lately", Link{Stands: true, Idle: 4 * Second, Closes: 30 * Second}, true},
+		{"one more, by which something stands", Link{Stands: true, Here: true, Idle: 60 * Second, Closes: 30 * Second}, true},
 		{"one more, idle", Link{Stands: true, Idle: 5 * Second, Closes: 30 * Second}, false},
 		{"one more, the machine is quick to close", Link{Idle: 2 * Second, Closes: 3 * Second}, false},
 	} {
