A link that is left is read until the machine has closed it

Checked: no yes crossed a withdrawal and no owner ended what stands in all traces; callers stood. Change: a link that is left ends its own side only and is read until the machine closes it.

--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -17,7 +17,10 @@
 	"golang.org/x/sys/unix"
 )
 
-const outputOfLink = 256 << 10
+const (
+	outputOfLink = 256 << 10
+	leaveWithin  = loop.Second // a machine closes a link that was left
+)
 
 // machine is one that the bus has named, with its links. A set-up has a link of its own as long as there are
 // enough, so that a spoilt answer harms no other.
@@ -139,37 +142,50 @@
 		}
 	}
 	m.closeIdle()
-	delete(m.p.machines, m.id)
+	if m.p.machines[m.id] == m {
+		delete(m.p.machines, m.id)
+	}
 }
 
-// leave closes a link on which nothing is awaited.
+// leave ends this side of a link on which nothing is awaited. The machine may be saying on it right now that something is
+// over, so it is read until the machine has closed it too, or has had a while to.
 func (l *link) leave() {
+	if l.left {
+		return
+	}
 	l.left = true
-	l.conn.Close()
+	l.conn.CloseWrite()
+	l.m.p.loop.After(leaveWithin, l.conn.Close)
 }
 
 func (l *link) idle() bool { return len(l.bids)+len(l.probes)+len(l.waiting) == 0 }
 
 func (m *machine) closeIdle() {
-	for _, l := range slices.Clone(m.links) {
+	for _, l := range m.kept() {
 		if l.idle() {
 			l.leave()
 		}
 	}
 }
 
+// kept are the links that are not being left.
+func (m *machine) kept() []*link {
+	return slices.DeleteFunc(slices.Clone(m.links), func(l *link) bool { return l.left })
+}
+
 // take finds a link that carries no set-up, opens one, or shares the one that carries least.
 func (m *machine) take() *link {
 	var best *link
-	for _, l := range m.links {
-		if l.conn == nil || !l.opened && len(l.bids) > 0 {
+	links := m.kept()
+	for _, l := range links {
+		if !l.opened && len(l.bids) > 0 {
 			continue
 		}
 		if best == nil || len(l.bids) < len(best.bids) {
 			best = l
 		}
 	}
-	if best != nil && len(best.bids) == 0 || best != nil && len(m.links) >= porter.MostLinks(m.p.d.Sockets, len(m.p.machines)) {
+	if best != nil && len(best.bids) == 0 || best != nil && len(links) >= porter.MostLinks(m.p.d.Sockets, len(m.p.machines)) {
 		return best
 	}
 	return m.reach()
@@ -464,14 +480,14 @@
 // house closes links before the machine does, and keeps one where something stands: its end is told there. Where one broke,
 // a new one is opened, as an end that was on its way is told again on that.
 func (m *machine) house(now loop.Tick) {
-	for i, l := range slices.Clone(m.links) {
+	for i, l := range m.kept() {
 		here := porter.Link{First: i == 0, Stands: m.standing > 0, Here: l.stands > 0,
 			Idle: porter.Time(now - l.usedAt), Closes: porter.Time(m.p.d.IdleLinks)}
 		if l.idle() && !here.Keeps() {
 			l.leave()
 		}
 	}
-	reach := m.broke || len(m.links) == 0
+	reach := m.broke || len(m.kept()) == 0
 	m.broke = false
 	if m.standing > 0 && reach && m.addr != "" && m.state != placer.Gone {
 		m.reach()
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -461,32 +461,72 @@
 	}
 }
 
-// An end that was on its way as its link broke is heard on the next link, which is opened for it.
+// An end that was on its way as its link broke is heard on the next link, which is opened for it though another stands.
 func TestEndAfterBreak(t *testing.T) {
-	first := make(chan bool, 10)
-	first <- true
+	const other = "00000000000000bb"
+	yes := `{"op":"accept","call":"%s","with":{},"desc":"d"}`
+	callers := make(chan int, 10)
+	for i := range 10 {
+		callers <- i
+	}
+	both := make(chan bool)
 	addr := listen(t, func(m *peer) {
-		if len(first) == 0 {
+		n := <-callers
+		if n >= 2 {
 			m.say(`{"op":"end","call":"` + call + `","with":{},"why":16}`)
 			m.hear()
 			return
 		}
-		<-first
-		m.hear()
-		m.say(`{"op":"accept","call":"`+call+`","with":{},"desc":"d"}`, "noise")
+		msg := m.hear()
+		if n == 0 {
+			both <- true
+		} else {
+			<-both // each set-up has a link of its own
+		}
+		m.say(strings.Replace(yes, "%s", msg.Call, 1))
+		if msg.Call == call {
+			m.say("noise")
+		}
 		m.hear()
 	})
 	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
 	o := r.owner()
-	o.say(setUp(call, ""))
-	if m := o.hear(); m == nil || m.Op != jsonline.Accept {
-		t.Fatalf("answered %+v", m)
-	}
+	o.say(setUp(call, ""), setUp(other, ""))
 	began := time.Now()
-	if m := o.hear(); m == nil || m.Op != jsonline.End || m.Cause() != 16 {
-		t.Errorf("heard %+v", m)
+	for _, op := range []jsonline.Op{jsonline.Accept, jsonline.Accept, jsonline.End} {
+		if m := o.hear(); m == nil || m.Op != op || op == jsonline.End && m.Call != call {
+			t.Fatalf("heard %+v, want %s", m, op)
+		}
 	}
-	if took := time.Since(began); took > time.Second {
+	if took := time.Since(began); took > time.Second { // what owners are owed
 		t.Errorf("told after %v", took)
 	}
 }
+
+// A link that is left is read until the machine has closed it: what it says on the way is heard, and nothing more is
+// sent on it.
+func TestLeftLinkIsRead(t *testing.T) {
+	addr := listen(t, func(m *peer) {
+		if msg := m.hear(); msg != nil {
+			m.say(`{"op":"tested","call":"` + msg.Call + `","with":{},"why":1}`)
+		}
+		if msg := m.hear(); msg != nil {
+			t.Errorf("heard %+v", msg)
+		}
+		m.say(`{"op":"end","call":"` + call + `","with":{},"why":16}`)
+	})
+	r := start(t, func(e placer.Event) []placer.Action {
+		switch e.(type) {
+		case placer.TookOver:
+			return []placer.Action{placer.Probe{Machine: "a"}}
+		case placer.Probed:
+			return []placer.Action{placer.Disconnect{Machine: "a"}}
+		}
+		return nil
+	}, file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	o := r.owner()
+	o.say(setUp(call, ";at:a"))
+	if m := o.hear(); m == nil || m.Op != jsonline.End || m.Call != call {
+		t.Errorf("heard %+v", m)
+	}
+}
