--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -65,11 +65,11 @@
 	conn    *loop.Conn
 	lines   jsonline.Lines
 	opened  bool
-	bids    map[*bid]bool       // waiting for it or out on it, until their answer
-	probes  map[string]*probing // by their call, until their answer or time-out
-	waiting []func()            // what goes out once it stands
-	stands  int                 // containers that stand and whose set-ups it carried
-	left    bool                // closed as nothing is awaited on it
+	bids    map[placer.ContainerID]*bid // waiting for it or out on it, until their answer
+	probes  map[string]*probing         // by their call, until their answer or time-out
+	waiting []func()                    // what goes out once it stands
+	stands  int                         // containers that stand and whose set-ups it carried
+	left    bool                        // closed as nothing is awaited on it
 	usedAt  loop.Tick
 }
 
@@ -114,7 +114,8 @@
 		list.Entries = append(list.Entries, h.entry)
 	}
 	p.feed(list)
-	for _, m := range p.ordered() {
+	for _, id := range slices.Sorted(maps.Keys(p.machines)) {
+		m := p.machines[id]
 		if m.state == placer.Gone {
 			m.lose(p.loop.Now())
 		}
@@ -122,15 +123,6 @@
 	}
 }
 
-func (p *Platform) ordered() []*machine {
-	out := make([]*machine, 0, len(p.machines))
-	for _, m := range p.machines {
-		out = append(out, m)
-	}
-	slices.SortFunc(out, func(a, b *machine) int { return strings.Compare(string(a.id), string(b.id)) })
-	return out
-}
-
 // settle lets go of a machine that is gone and empty.
 func (m *machine) settle() {
 	if m.state != placer.Gone || len(m.bids) > 0 {
@@ -192,7 +184,7 @@
 }
 
 func (m *machine) reach() *link {
-	l := &link{m: m, lines: jsonline.Lines{Most: jsonline.MostBytes}, bids: map[*bid]bool{}, probes: map[string]*probing{},
+	l := &link{m: m, lines: jsonline.Lines{Most: jsonline.MostBytes}, bids: map[placer.ContainerID]*bid{}, probes: map[string]*probing{},
 		usedAt: m.p.loop.Now()}
 	l.conn = m.p.loop.Dial(m.addr, l, outputOfLink, m.p.d.Connect)
 	m.links = append(m.links, l)
@@ -232,52 +224,31 @@
 	m.links = slices.DeleteFunc(m.links, func(x *link) bool { return x == l })
 	l.waiting = nil
 	m.broke = m.broke || l.opened && !l.left
-	short := errors.Is(why, loop.ErrShort)
+	never := placer.NoConnect
+	if errors.Is(why, loop.ErrShort) {
+		never = placer.NotSent
+	}
 	if !l.opened && errors.Is(why, unix.ECONNREFUSED) {
 		p.notice(vigil.Refused{Machine: string(m.id)})
 	}
-	for _, b := range l.ordered() {
-		switch {
-		case b.sent:
-			p.log.Debug("bid reset", "call", b.c.ask.ID, "machine", m.id, "why", why)
-			p.over(b, placer.Ended{Outcome: placer.Reset, Over: b.c.answered})
-		case short:
-			p.over(b, placer.Ended{Outcome: placer.NotSent, Over: b.c.answered})
-		default:
-			p.over(b, placer.Ended{Outcome: placer.NoConnect, Over: b.c.answered})
+	for _, id := range slices.Sorted(maps.Keys(l.bids)) {
+		b, outcome := l.bids[id], never
+		if b.sent {
+			p.log.Debug("bid reset", "call", id, "machine", m.id, "why", why)
+			outcome = placer.Reset
 		}
+		p.over(b, placer.Ended{Outcome: outcome, Over: b.c.answered})
 	}
-	for _, q := range l.orderedProbes() {
-		switch {
-		case l.opened:
-			p.probed(q, placer.Reset, nil)
-		case short:
-			p.probed(q, placer.NotSent, nil)
-		default:
-			p.probed(q, placer.NoConnect, nil)
+	for _, call := range slices.Sorted(maps.Keys(l.probes)) {
+		outcome := never
+		if l.opened {
+			outcome = placer.Reset
 		}
+		p.probed(l.probes[call], outcome, nil)
 	}
 	m.settle()
 }
 
-func (l *link) ordered() []*bid {
-	out := make([]*bid, 0, len(l.bids))
-	for b := range l.bids {
-		out = append(out, b)
-	}
-	slices.SortFunc(out, func(a, b *bid) int { return strings.Compare(string(a.c.ask.ID), string(b.c.ask.ID)) })
-	return out
-}
-
-func (l *link) orderedProbes() []*probing {
-	out := make([]*probing, 0, len(l.probes))
-	for _, q := range l.probes {
-		out = append(out, q)
-	}
-	slices.SortFunc(out, func(a, b *probing) int { return strings.Compare(a.call, b.call) })
-	return out
-}
-
 func (l *link) write(m *jsonline.Message) bool {
 	line, err := l.m.p.line(m)
 	if err != nil {
@@ -318,7 +289,7 @@
 		}
 	})
 	b.link = b.at.take()
-	b.link.bids[b] = true
+	b.link.bids[a.ID] = b
 	b.link.when(func() {
 		if c.bid == b {
 			p.send(b)
@@ -431,7 +402,7 @@
 		return errors.New("a yes without a description")
 	}
 	p.loop.Cancel(b.timer)
-	delete(b.link.bids, b)
+	delete(b.link.bids, c.ask.ID)
 	b.stands = true
 	b.link.stands++
 	b.at.stand(1)
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -22,13 +22,11 @@
 // caller is one connection from owners.
 type caller struct {
 	p      *Platform
-	number int
+	number porter.CallerID
 	conn   *loop.Conn
 	lines  jsonline.Lines
 }
 
-func (k *caller) id() porter.CallerID { return porter.CallerID(k.number) }
-
 func (p *Platform) accept() (loop.Handler, int) {
 	p.lastCaller++
 	return &caller{p: p, number: p.lastCaller, lines: jsonline.Lines{Most: jsonline.MostBytes}}, outputOfCaller
@@ -36,8 +34,8 @@
 
 func (k *caller) Opened(c *loop.Conn) {
 	k.conn = c
-	k.p.callers[k.id()] = k
-	k.p.tell(porter.Came{Caller: k.id()})
+	k.p.callers[k.number] = k
+	k.p.tell(porter.Came{Caller: k.number})
 }
 
 func (k *caller) Read(_ *loop.Conn, b []byte) {
@@ -46,14 +44,14 @@
 		k.conn.Close()
 		return
 	}
-	k.p.tell(porter.Heard{Caller: k.id(), Half: k.lines.Half() > 0})
+	k.p.tell(porter.Heard{Caller: k.number, Half: k.lines.Half() > 0})
 }
 
 // Closed ends what was under way for a caller; what stands belongs to no connection.
 func (k *caller) Closed(*loop.Conn, error) {
 	p := k.p
-	delete(p.callers, k.id())
-	p.tell(porter.Left{Caller: k.id()})
+	delete(p.callers, k.number)
+	p.tell(porter.Left{Caller: k.number})
 	var left []*container
 	for _, c := range p.containers {
 		if c.caller == k {
@@ -69,21 +67,19 @@
 	}
 }
 
-func (k *caller) write(m *jsonline.Message) bool {
+func (k *caller) write(m *jsonline.Message) {
 	if k.conn == nil || !k.conn.Open() {
-		return false
+		return
 	}
 	line, err := k.p.line(m)
 	if err != nil {
 		k.p.log.Error("message not sent", "caller", k.number, "why", err)
-		return false
+		return
 	}
 	k.p.show("to owner", fmt.Sprint(k.number), m)
 	if err := k.conn.Write(line); err != nil {
 		k.conn.Reset()
-		return false
 	}
-	return true
 }
 
 func (k *caller) line(line []byte) error {
@@ -107,14 +103,14 @@
 		}
 	case jsonline.Ended:
 		p.tell(porter.HeardOver{Call: m.Call})
-		p.tell(porter.Proved{Caller: k.id()})
+		p.tell(porter.Proved{Caller: k.number})
 	case jsonline.Test:
 		passed := jsonline.Passed
 		if p.leaving {
 			passed = jsonline.Failed
 		}
 		k.write(&jsonline.Message{Op: jsonline.Tested, Call: m.Call, Why: jsonline.Because(passed)})
-		p.tell(porter.Answered{Caller: k.id()})
+		p.tell(porter.Answered{Caller: k.number})
 	}
 	return nil
 }
@@ -133,19 +129,19 @@
 		p.log.Debug("set-up turned away", "caller", k.number, "call", m.Call, "why", err)
 		if at == "" {
 			k.write(&jsonline.Message{Op: jsonline.End, Call: m.Call, Why: jsonline.Because(jsonline.Unreadable)})
-			p.tell(porter.Answered{Caller: k.id()})
-			p.tell(porter.TurnedAway{Caller: k.id()})
+			p.tell(porter.Answered{Caller: k.number})
+			p.tell(porter.TurnedAway{Caller: k.number})
 		}
 		return nil
 	}
 	if at != "" {
-		p.tell(porter.Proved{Caller: k.id()})
+		p.tell(porter.Proved{Caller: k.number})
 		p.takeOver(k, ask, at)
 		return nil
 	}
 	c := &container{ask: ask, class: m.With["class"], idem: m.With["idem"], desc: slices.Clone(m.Desc), caller: k}
 	p.containers[ask.ID] = c
-	p.tell(porter.Asked{Caller: k.id()})
+	p.tell(porter.Asked{Caller: k.number})
 	p.feed(placer.Asked{Ask: ask})
 	return nil
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -46,7 +46,7 @@
 	bus        bus
 	scratch    []byte
 	lastProbe  uint64
-	lastCaller int
+	lastCaller porter.CallerID
 
 	leaving   bool // told to stop
 	leavingAt loop.Tick
@@ -249,15 +249,19 @@
 	if c.caller != nil {
 		m.Call = string(id)
 		c.caller.write(m)
-		p.tell(porter.Answered{Caller: c.caller.id(), Closed: 1})
+		p.tell(porter.Answered{Caller: c.caller.number, Closed: 1})
 		if m.Op == jsonline.Accept {
-			p.tell(porter.Proved{Caller: c.caller.id()})
+			p.tell(porter.Proved{Caller: c.caller.number})
 		}
 	}
+	p.letOff(c)
+}
+
+// letOff calls off the bid of a container that awaits none any more.
+func (p *Platform) letOff(c *container) {
 	if c.bid != nil && !c.bid.stands {
 		p.callOff(c.bid)
 		p.over(c.bid, placer.Ended{Outcome: placer.Stopped, Over: true})
-		return
 	}
 	p.forget(c)
 }
@@ -266,15 +270,10 @@
 func (p *Platform) vanish(c *container) {
 	c.answered = true
 	if c.caller != nil {
-		p.tell(porter.TookBack{Caller: c.caller.id()})
+		p.tell(porter.TookBack{Caller: c.caller.number})
 	}
 	p.feed(placer.Vanished{ID: c.ask.ID})
-	if c.bid != nil {
-		p.callOff(c.bid)
-		p.over(c.bid, placer.Ended{Outcome: placer.Stopped, Over: true})
-		return
-	}
-	p.forget(c)
+	p.letOff(c)
 }
 
 func (p *Platform) forget(c *container) {
@@ -291,7 +290,7 @@
 	}
 	p.loop.Cancel(b.timer)
 	if b.link != nil && !b.stands {
-		delete(b.link.bids, b)
+		delete(b.link.bids, c.ask.ID)
 	}
 	delete(b.at.bids, c.ask.ID)
 	if b.stands {
@@ -317,7 +316,7 @@
 	}
 	over := porter.Over{Call: string(c.ask.ID), Cause: cause}
 	if c.caller != nil {
-		over.Caller = c.caller.id()
+		over.Caller = c.caller.number
 	}
 	p.tell(over)
 }
