Who named what stands is not let go as one that asked nothing, and ends are told in time

Between: 'caller let go' of callers 2 to 5, why 'it has asked nothing', at 2.034 s, though they had named 100 containers that stand and heard 14 ends; the callers that came at 2.3 s had set-ups open until 3.6 s and no answer yet, so nobody was fit to be told for over a second. Ruled out: the machine (its end came on the link of its set-up) and the restarts (from 8 s on). At fault: porter.Handle, Tick (unknownFor asked for sent only) and porter.tell (who awaits a first answer was never told). Change: a caller that spoke for owners stays; where none such is there, who awaits an answer is told after half a second. Tests: TestWhoStays/named what stands, TestTell/only an owner that awaits its first answer; both fail without.

--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -27,7 +27,8 @@
 	longestRest = Second
 	staleAfter  = 4 * Second  // owners close a connection of their own that was unused for so long
 	tellAgain   = Second / 4  // after this, who was told of an end has not heard it
-	tellSome    = Second      // until then only an owner who has shown that work of his stands is told
+	tellSome    = Second      // until then only an owner who has shown that work of his stands is told,
+	tellAny     = Second / 2  // where there is one: the word is owed within a second
 	tellUntil   = 10 * Second // then an end that nobody hears is dropped
 	leavesAfter = 3 * Second  // a placer told to leave takes in what is on its way, and tells ends, for so long
 	idleLink    = 5 * Second  // a link beyond a machine's first that carries nothing is closed after it
@@ -210,7 +211,7 @@
 			for _, c := range p.sorted() {
 				switch {
 				case c.going || c.open > 0:
-				case !c.sent && now-c.came > unknownFor:
+				case !c.sent && !c.proved && now-c.came > unknownFor: // one that named what stands is owed its end
 					out = p.letGo(c, "it has asked nothing", out)
 				case c.half > 0 && now-c.half > halfFor:
 					out = p.letGo(c, "its message never ends", out)
@@ -222,11 +223,17 @@
 }
 
 // tell names the caller that hears of an end: the one used last of those that speak for owners and have not been told,
-// and if there is none for a while, of all that have been answered. With none left, whoever was told may hear it yet.
+// and if there is none for a while, of all that await an answer or had one: where set-ups take seconds, an owner's new
+// connections may all be such. With none left, whoever was told may hear it yet.
 func (p *Porter) tell(now Time, x *end, out []Action) []Action {
 	var to *caller
-	for _, c := range p.sorted() {
-		fits := !c.going && (c.proved || c.sent && now-x.since >= tellSome) && !slices.Contains(x.tried, c.id)
+	callers := p.sorted()
+	others := tellAny
+	if slices.ContainsFunc(callers, func(c *caller) bool { return c.proved && !c.going }) {
+		others = tellSome
+	}
+	for _, c := range callers {
+		fits := !c.going && (c.proved || (c.sent || c.open > 0) && now-x.since >= others) && !slices.Contains(x.tried, c.id)
 		if fits && (to == nil || c.proved && !to.proved || c.proved == to.proved && c.usedAt >= to.usedAt) {
 			to = c
 		}
--- a/internal/porter/porter_test.go
+++ b/internal/porter/porter_test.go
@@ -75,6 +75,7 @@
 		{"asks nothing", nil, true},
 		{"awaits an answer", []Event{Heard{Caller: 1}, Asked{1}}, false},
 		{"was answered", []Event{Asked{1}, Answered{1, 1}}, false},
+		{"named what stands", []Event{Heard{Caller: 1}, Proved{1}}, false},
 		{"took all back", []Event{Asked{1}, TookBack{1}}, true},
 		{"half a message", []Event{Answered{Caller: 1}, Heard{1, true}}, true},
 		{"half a message, then the rest", []Event{Answered{Caller: 1}, Heard{1, true}, Heard{1, false}}, false},
@@ -153,6 +154,7 @@
 		{"another end is heard of", slices.Concat(owner(1), owner(2)), 1, map[Time]Event{1: HeardOver{"y"}}, []CallerID{1, 2}},
 		{"only callers that never spoke for owners", served(4), 0, map[Time]Event{15: HeardOver{"x"}}, []CallerID{4}},
 		{"an owner comes later", served(4), 0, map[Time]Event{4: Came{5}, 5: Proved{5}, 9: HeardOver{"x"}}, []CallerID{5}},
+		{"only an owner that awaits its first answer", []Event{Came{4}, Asked{4}}, 0, map[Time]Event{8: HeardOver{"x"}}, []CallerID{4}},
 		{"nobody is there", nil, 0, nil, nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
