A peer that hangs up is heard to its end in one turn, and its leaving is told at once

Seen on loopback (TestHangUp, without the mend): what a peer asked and its end were taken in two turns, so a bid went out for an owner that had left already; a connection left unread (an owner that was turned away before) told nothing of its end until the rest was over, up to a second; one whose output waited told it only once that was written, up to 2 s. Ruled out: resets, which were heard in all three. At fault: loop.Conn.ready (one read a turn also after a hang-up, no EPOLLRDHUP, EOF told by end and not by the read). Change: a hang-up is watched for always and ends in one turn, with all that was said before it; EOF is told as it is read. Bounds: 128 reads.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -31,6 +31,7 @@
 	acceptAtOnce  = 64
 	acceptAgain   = 100 * Millisecond // after a listener failed
 	lingerAtClose = 2 * Second
+	heardOut      = 128 // reads, more than a kernel holds of what a peer that has hung up said before
 )
 
 // Handler is told what happens on a connection. Closed comes exactly once, and nothing after it.
@@ -334,7 +335,7 @@
 		}
 		c := &Conn{l: s.l, fd: fd, h: h, room: room, open: true}
 		unix.SetsockoptInt(fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
-		if err := s.l.add(fd, unix.EPOLLIN, c); err != nil {
+		if err := s.l.add(fd, unix.EPOLLIN|unix.EPOLLRDHUP, c); err != nil {
 			unix.Close(fd)
 			s.tell(err)
 			continue
@@ -520,7 +521,7 @@
 	c.mark()
 }
 
-// Rest leaves what comes unread, or reads it again. A break is heard all the same.
+// Rest leaves what comes unread, or reads it again. A peer that hangs up is heard to its end all the same.
 func (c *Conn) Rest(on bool) {
 	if c.dead || c.resting == on {
 		return
@@ -584,9 +585,11 @@
 }
 
 func (c *Conn) watch() {
-	events := uint32(unix.EPOLLIN)
-	if c.ending != nil || c.resting {
+	events := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
+	if c.ending != nil {
 		events = 0
+	} else if c.resting {
+		events = unix.EPOLLRDHUP
 	}
 	if c.waits {
 		events |= unix.EPOLLOUT
@@ -618,10 +621,8 @@
 		c.watch()
 		c.mark()
 	}
-	if events&(unix.EPOLLIN|unix.EPOLLHUP|unix.EPOLLERR) == 0 {
-		return
-	}
-	if c.resting && events&(unix.EPOLLHUP|unix.EPOLLERR) == 0 {
+	hungUp := events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0
+	if !hungUp && (c.resting || events&unix.EPOLLIN == 0) {
 		return
 	}
 	if c.ending != nil {
@@ -630,17 +631,27 @@
 		}
 		return
 	}
+	for more, reads := c.take(), 1; more && hungUp && reads < heardOut; reads++ {
+		more = c.take()
+	}
+}
+
+// take reads once; it tells whether there may be more.
+func (c *Conn) take() bool {
 	n, err := unix.Read(c.fd, c.l.buffer)
 	switch {
 	case err == unix.EAGAIN || err == unix.EINTR:
+		return false
 	case err != nil:
 		c.fail(fmt.Errorf("%w: %w", ErrReset, err))
 	case n == 0:
-		c.end(io.EOF) // the peer may still read what waits
+		c.tell(io.EOF) // at once, as it has left; it may still read what waits
+		c.end(io.EOF)
 	default:
 		c.read += n
 		c.h.Read(c, c.l.buffer[:n])
 	}
+	return !c.dead && c.ending == nil
 }
 
 func (c *Conn) push() {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -402,3 +402,58 @@
 		time.Sleep(time.Millisecond)
 	}
 }
+
+// hearer is a probe that does something when its connection is closed, on the loop.
+type hearer struct {
+	*probe
+	closes func()
+}
+
+func (h hearer) Closed(c *Conn, why error) {
+	h.closes()
+	h.probe.Closed(c, why)
+}
+
+// A peer that has hung up is heard to its end in one turn, also where what it says is left unread or output for it waits.
+func TestHangUp(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		here func(c *Conn)
+		said int // bytes, before it hangs up
+	}{
+		{"asks and hangs up", func(*Conn) {}, readAtOnce / 2},
+		{"while it is left unread", func(c *Conn) { c.Rest(true) }, readAtOnce / 2},
+		{"while it takes nothing", func(c *Conn) {
+			for c.Write(make([]byte, 1<<20)) == nil {
+			}
+		}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			turn, read, first, last := 0, 0, -1, 0
+			l, h := run(t, func() { turn++ }), hearer{newProbe(), func() { last = turn }}
+			h.take = func(_ *Conn, p []byte) {
+				if read += len(p); first < 0 {
+					first = turn
+				}
+			}
+			peer := dial(t, listen(t, l, h, 32<<20, nil)).(*net.TCPConn)
+			c := wait(t, h.opened)
+			on(l, func() bool { tc.here(c); return true })
+			on(l, func() bool { // the loop reads nothing until all was said
+				peer.SetReadBuffer(1 << 10)
+				peer.Write(make([]byte, tc.said))
+				peer.CloseWrite()
+				return true
+			})
+			if why := wait(t, h.closed); why != io.EOF {
+				t.Errorf("closed by %v", why)
+			}
+			on(l, func() bool {
+				if read != tc.said || first != last {
+					t.Errorf("%d of %d bytes were read, first in turn %d, closed in turn %d", read, tc.said, first, last)
+				}
+				return true
+			})
+		})
+	}
+}
