The end of what stood before its yes was heard ends the container, not only the bid

At fault: link.line in machines.go took the release as 'broke on its way'. Only a container that stood is evicted, pushed out or sent away by a release (one that never ran is handed back as full), so what stood is over and its owner owed the end. Change: the container ends there with cause 41 to its owner; the module hears Ended with Over. The module is untouched.

--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -378,7 +378,11 @@
 		if o, ok := outcomes[msg.Cause()]; ok {
 			e.Outcome = o
 		}
-		p.over(b, e)
+		if e.Outcome == placer.Reset && e.Reason >= placer.Evicted {
+			p.endedUnheard(b, e)
+		} else {
+			p.over(b, e)
+		}
 	case jsonline.Info:
 		if v, err := strconv.ParseFloat(msg.With["value"], 64); err == nil && b != nil && b.sent && sorts[msg.With["note"]] != 0 {
 			p.feed(placer.Noted{ID: b.c.ask.ID, Machine: m.id, Bid: b.nth, Sort: sorts[msg.With["note"]], Amount: v})
@@ -395,6 +399,15 @@
 	return nil
 }
 
+// endedUnheard ends a container that stood at a machine whose yes is late or lost: only what stood is evicted, pushed out or
+// sent away with such a release. Its owner is owed that end; a further bid would go on with what the machine and the
+// platform count as over.
+func (p *Platform) endedUnheard(b *bid, e placer.Ended) {
+	e.Over = true
+	p.over(b, e)
+	p.answer(b.c.ask.ID, &jsonline.Message{Op: jsonline.End, Why: jsonline.Because(jsonline.Temporary)})
+}
+
 // accepted passes a machine's yes to the owner.
 func (p *Platform) accepted(b *bid, msg *jsonline.Message) error {
 	c := b.c
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -66,6 +66,8 @@
 		{"erred", []string{end(47, "")}, placer.Erred, 0, false, []int{41}},
 		{"never left", []string{end(102, "")}, placer.NotSent, 0, false, []int{41}},
 		{"broke on its way", []string{end(41, "")}, placer.Reset, 0, false, []int{41}},
+		{"evicted, its yes is late", []string{end(41, `"note":"oom"`), yes}, placer.Reset, placer.Evicted, true, []int{41}},
+		{"sent away, its yes is lost", []string{end(41, `"note":"drained"`)}, placer.Reset, placer.SentAway, true, []int{41}},
 		{"its time has passed", []string{end(16, "")}, placer.Finished, 0, false, []int{41}},
 		{"another cause", []string{end(99, "")}, placer.Reset, 0, false, []int{41}},
 		{"finished", []string{yes, end(16, "")}, placer.Finished, 0, true, []int{-1, 16}},
