A caller that names what stands with figures that cannot be has shown nothing

At fault: readAsk passed over left where at is given, so such a caller counted as one that speaks for owners, and its container as standing. Change: left has to be a time there too (some 68 years at most, as the platform sends 4294967 ms).

--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -192,6 +192,10 @@
 		return ask, at, errors.New("key or extras service is missing")
 	}
 	var left float64
+	longest := float64(longestWait)
+	if at != "" {
+		longest = math.MaxInt32 * 1000 // what stands has no hard stop, but what is no time at all is turned away
+	}
 	for _, f := range []struct {
 		name, text string
 		to         *float64
@@ -200,10 +204,10 @@
 	}{
 		{"extras cores", extras["cores"], &ask.Cores, 0, 1e6},
 		{"extras memory", extras["memory"], &ask.Memory, 0, 1e9},
-		{"left", m.With["left"], &left, 0, longestWait},
+		{"left", m.With["left"], &left, 0, longest},
 	} {
-		if at != "" && (f.text == "" || f.to == &left) {
-			continue // what stands has no hard stop
+		if at != "" && f.text == "" {
+			continue
 		}
 		v, err := strconv.ParseFloat(f.text, 64)
 		if err != nil || math.IsNaN(v) || v < f.least || v > f.most {
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -175,6 +175,33 @@
 	}
 }
 
+// A caller that names what stands with figures that cannot be has shown nothing: it is let go like one that asks nothing,
+// and nothing is counted as standing. One whose figures hold stays.
+func TestNamesWhatCannotStand(t *testing.T) {
+	for _, tc := range []struct {
+		left  string
+		stays bool
+	}{{`"-5"`, false}, {`"soon"`, false}, {`"1e99"`, false}, {`"4294967"`, true}} {
+		t.Run(tc.left, func(t *testing.T) {
+			t.Parallel()
+			addr := listen(t, func(m *peer) { m.hear() })
+			r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "draining", 0))))
+			o := r.owner()
+			o.say(strings.Replace(setUp(call, ";at:a"), `"2000"`, tc.left, 1))
+			if tc.stays {
+				await[placer.TookOver](r, nil)
+			} else if m := o.hear(); m != nil {
+				t.Errorf("heard %+v", m)
+			}
+			r.p.loop.Post(func() { r.script.events <- placer.Woke{Name: fmt.Sprint(len(r.p.containers))} })
+			want := map[bool]string{true: "1", false: "0"}[tc.stays]
+			if e := await(r, func(e placer.Woke) bool { return e.Name != "" }); e.Name != want {
+				t.Errorf("%s containers are held, want %s", e.Name, want)
+			}
+		})
+	}
+}
+
 // A call that is open is not taken twice: from elsewhere the second is turned away, from the same caller both are over.
 func TestCallTwice(t *testing.T) {
 	addr := listen(t, func(m *peer) { m.hear(); m.hear() })
