--- a/cmd/glenport/platform.go
+++ b/cmd/glenport/platform.go
@@ -39,23 +39,14 @@
 				level = slog.LevelDebug
 			}
 			log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level}))
+			leave, renew := make(chan os.Signal, 1), make(chan os.Signal, 1) // of each sort the last one waits
+			signal.Notify(leave, syscall.SIGINT, syscall.SIGTERM)
+			signal.Notify(renew, syscall.SIGHUP)
 			p, err := platform.New(d, placer.New(d.Terms), log, trace)
 			if err != nil {
 				return err
 			}
-			told := make(chan os.Signal, 4)
-			signal.Notify(told, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
-			go func() {
-				for s := range told {
-					if s != syscall.SIGHUP {
-						p.Leave()
-					} else if d, err := platform.Load(file); err != nil {
-						log.Error("the new file is not used", "why", err)
-					} else {
-						p.Renew(d)
-					}
-				}
-			}()
+			p.Obey(leave, renew, func() (*platform.Deployment, error) { return platform.Load(file) })
 			runtime.LockOSThread()
 			return p.Run()
 		}}
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -55,6 +55,7 @@
 	busy        time.Duration
 	turns       int
 	again       bool
+	ending      bool
 	byFD        map[int]served
 	dirty       []*Conn
 	buffer      []byte
@@ -143,7 +144,11 @@
 // call it.
 func (l *Loop) Stop() { l.Post(func() { l.turn = nil }) }
 
-// Run serves until Stop. It closes every connection and listener before it returns.
+// End ends Run after the present turn, unless something has come meanwhile: then one more turn takes that in, and may call
+// End again. So nothing that a peer had written is left without being acted on.
+func (l *Loop) End() { l.ending = true }
+
+// Run serves until Stop or End. It closes every connection and listener before it returns.
 func (l *Loop) Run() error {
 	defer l.shut()
 	for l.turn != nil {
@@ -151,6 +156,10 @@
 		if err != nil && err != unix.EINTR {
 			return fmt.Errorf("epoll: %w", err)
 		}
+		if l.ending && n == 0 {
+			return nil
+		}
+		l.ending = false
 		began := time.Since(l.started)
 		l.again = false
 		l.now = max(l.now, l.base+Tick(time.Since(l.started).Microseconds()/100))
@@ -176,7 +185,7 @@
 
 // patience is how long the wait may last, in milliseconds rounded up: a timer may be late by one, never early.
 func (l *Loop) patience() int {
-	if l.again {
+	if l.again || l.ending {
 		return 0
 	}
 	at, ok := l.wheel.Next()
@@ -223,6 +232,7 @@
 		switch s := s.(type) {
 		case *Conn:
 			s.push()
+			s.hearOut()
 			s.fail(ErrClosed)
 		case *Listener:
 			s.Close()
@@ -636,6 +646,20 @@
 	}
 }
 
+// hearOut ends this side of a connection and drops what is left unread: a close with unread bytes is a reset, which may take
+// from the peer what it has not read yet.
+func (c *Conn) hearOut() {
+	if c.dead || !c.open {
+		return
+	}
+	unix.Shutdown(c.fd, unix.SHUT_WR)
+	for range heardOut {
+		if n, err := unix.Read(c.fd, c.l.buffer); n <= 0 || err != nil {
+			return
+		}
+	}
+}
+
 // take reads once; it tells whether there may be more.
 func (c *Conn) take() bool {
 	n, err := unix.Read(c.fd, c.l.buffer)
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -457,3 +457,44 @@
 		})
 	}
 }
+
+// A loop that ends takes in what a peer has written by then, writes what that leads to, and resets nothing.
+func TestEnd(t *testing.T) {
+	l, h := newLoop(t), newProbe()
+	var peer net.Conn
+	h.take = func(c *Conn, p []byte) {
+		c.Write(p)
+		c.Rest(true)
+		l.Post(func() {
+			peer.Write([]byte("unread"))
+			l.End()
+		})
+	}
+	s, err := l.Listen("127.0.0.1:0", func() (Handler, int) { return h, 100 }, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- l.Run() }()
+	peer = dial(t, s.Addr().String())
+	wait(t, h.opened)
+	l.Post(func() {
+		peer.Write([]byte("last")) // not read in this turn, after which the loop ends
+		l.End()
+	})
+	if got, err := io.ReadAll(peer); string(got) != "last" || err != nil {
+		t.Errorf("peer got %q, %v", got, err)
+	}
+	if err := wait(t, done); err != nil {
+		t.Error(err)
+	}
+}
+
+func newLoop(t *testing.T) *Loop {
+	t.Helper()
+	l, err := New(func() {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
--- a/internal/platform/bus.go
+++ b/internal/platform/bus.go
@@ -23,10 +23,11 @@
 	last    int64 // number of the last event that was taken in
 	heardAt loop.Tick
 	broken  bool
+	goes    bool // an event came on this connection: the next has the next number
 }
 
 func (s *bus) reach() {
-	s.lines = jsonline.Lines{Most: longestEvent}
+	s.lines, s.goes = jsonline.Lines{Most: longestEvent}, false
 	s.heardAt = s.p.loop.Now()
 	s.conn = s.p.loop.Dial(s.addr, s, 1<<10, loop.Second)
 }
@@ -97,10 +98,15 @@
 	if e.number <= s.last {
 		return nil
 	}
-	if e.bare {
+	// What is missing is asked for again. The first event on a connection may have any number: a bus that has dropped what
+	// is old cannot tell it.
+	if e.bare || s.goes && e.number > s.last+1 {
 		return fmt.Errorf("event %d is missing", s.last+1)
 	}
-	s.last = e.number
+	s.last, s.goes = e.number, true
+	for _, fault := range e.faults {
+		s.p.log.Warn("machine left out of an event", "event", e.number, "why", fault)
+	}
 	s.p.learn(placer.Changes, e)
 	return nil
 }
--- a/internal/platform/deployment.go
+++ b/internal/platform/deployment.go
@@ -111,6 +111,9 @@
 		if err == nil && e.bare {
 			err = errors.New("topology is missing")
 		}
+		if err == nil {
+			err = errors.Join(e.faults...)
+		}
 		if err != nil {
 			return nil, fmt.Errorf("known.batch[%d]: %w", i, err)
 		}
@@ -215,6 +218,7 @@
 	whole   bool
 	version int64
 	hosts   []busHost
+	faults  []error // of entries that are left out
 }
 
 type busHost struct {
@@ -224,8 +228,8 @@
 
 var hostStates = map[string]placer.MachineState{"ready": placer.Serving, "draining": placer.Draining, "gone": placer.Gone}
 
-// readEvent reads an event of the bus. A machine in a zone or of a kind that the terms do not have makes it faulty, but for
-// one that is gone.
+// readEvent reads an event of the bus. A machine that the terms cannot place is left out of it and named among its faults,
+// so that one such entry does not keep the others from being heard.
 func (d *Deployment) readEvent(p []byte) (busEvent, error) {
 	var raw struct {
 		Offset   int64
@@ -252,20 +256,10 @@
 	}
 	e := busEvent{number: raw.Offset, whole: raw.Topology.Whole, version: raw.Topology.Seq}
 	for i, h := range raw.Topology.Hosts {
-		state, ok := hostStates[h.Health]
-		zone, kind := slices.Index(d.zones, h.Site), slices.Index(d.kinds, h.Class)
-		_, err := netip.ParseAddrPort(h.Dial)
-		switch {
-		case !ok:
-			return e, fmt.Errorf("hosts[%d]: health %q is not known", i, h.Health)
-		case h.Host == "":
-			return e, fmt.Errorf("hosts[%d]: host is missing", i)
-		case state == placer.Gone:
-			zone, kind = max(zone, 0), max(kind, 0)
-		case err != nil:
-			return e, fmt.Errorf("hosts[%d]: dial: %w", i, err)
-		case zone < 0 || kind < 0:
-			return e, fmt.Errorf("hosts[%d]: site %q or class %q is not known", i, h.Site, h.Class)
+		state, zone, kind, err := d.place(h.Host, h.Dial, h.Site, h.Class, h.Health)
+		if err != nil {
+			e.faults = append(e.faults, fmt.Errorf("hosts[%d]: %w", i, err))
+			continue
 		}
 		b := busHost{addr: h.Dial, entry: placer.Entry{Machine: placer.MachineID(h.Host), Zone: zone, Kind: kind,
 			Cell: h.Block, State: state, PowerHint: h.Share, StartedAt: placer.Time(math.Floor(h.Born * 10))}}
@@ -276,3 +270,31 @@
 	}
 	return e, nil
 }
+
+// place reads where a machine stands in the terms. Zone and kind of one that is gone do not matter, and without zones or
+// kinds in the terms there is one of each.
+func (d *Deployment) place(id, addr, site, class, health string) (state placer.MachineState, zone, kind int, err error) {
+	state, ok := hostStates[health]
+	zone, kind = number(d.zones, site), number(d.kinds, class)
+	_, fault := netip.ParseAddrPort(addr)
+	switch {
+	case !ok:
+		err = fmt.Errorf("health %q is not known", health)
+	case id == "":
+		err = errors.New("host is missing")
+	case state == placer.Gone:
+		zone, kind = max(zone, 0), max(kind, 0)
+	case fault != nil:
+		err = fmt.Errorf("dial: %w", fault)
+	case zone < 0 || kind < 0:
+		err = fmt.Errorf("site %q or class %q is not known", site, class)
+	}
+	return state, zone, kind, err
+}
+
+func number(names []string, name string) int {
+	if len(names) == 0 {
+		return 0
+	}
+	return slices.Index(names, name)
+}
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -28,13 +28,14 @@
 	p       *Platform
 	id      placer.MachineID
 	addr    string
+	entry   placer.Entry // as told last; without an id where the bus never named it
 	state   placer.MachineState
 	started placer.Time
 	links   []*link
 	bids    map[placer.ContainerID]*bid // out, or standing there
 
 	standing int
-	broke    bool // a link was lost since something stands: the machine tells on the next one what it said on that
+	broke    bool      // a link was lost since something stands: the machine tells on the next one what it said on that
 }
 
 // stand counts what stands at a machine.
@@ -92,37 +93,67 @@
 // learn hands an event of the bus to the module and keeps the addresses.
 func (p *Platform) learn(mode placer.ListMode, e busEvent) {
 	list := placer.ListCame{Mode: mode, Version: e.version}
+	var touched []*machine
 	if mode == placer.Changes && e.whole {
 		list.Mode = placer.WholeList
 	}
 	if e.whole {
-		for _, m := range p.machines {
+		for _, id := range slices.Sorted(maps.Keys(p.machines)) {
+			m := p.machines[id]
 			m.state = placer.Gone
+			touched = append(touched, m)
 		}
 	}
 	for _, h := range e.hosts {
 		m := p.machine(h.entry.Machine)
+		touched = append(touched, m)
+		if old := p.succeeded(h); old != nil {
+			list.Entries = append(list.Entries, old.entry)
+			touched = append(touched, old)
+		}
+		if p.at[m.addr] == m.id && m.addr != h.addr && h.addr != "" {
+			delete(p.at, m.addr)
+		}
 		if m.addr != h.addr && m.addr != "" || m.started != h.entry.StartedAt {
 			m.closeIdle()
 		}
 		if h.addr != "" {
 			m.addr = h.addr
 		}
+		if m.entry = h.entry; h.entry.State != placer.Gone {
+			p.at[m.addr] = m.id
+		} else if p.at[m.addr] == m.id {
+			delete(p.at, m.addr)
+		}
 		if m.state, m.started = h.entry.State, h.entry.StartedAt; m.started > 0 {
 			m.lose(loop.Tick(m.started))
 		}
 		list.Entries = append(list.Entries, h.entry)
 	}
 	p.feed(list)
-	for _, id := range slices.Sorted(maps.Keys(p.machines)) {
-		m := p.machines[id]
+	for _, m := range touched {
 		if m.state == placer.Gone {
 			m.lose(p.loop.Now())
+			if p.at[m.addr] == m.id { // left out of a whole list
+				delete(p.at, m.addr)
+			}
 		}
 		m.settle()
 	}
 }
 
+// succeeded finds the machine at whose address the bus names another one. It is gone, though the bus has yet to say so:
+// what was sent to that address for it would reach its successor, and go beyond what that bears while it is cold.
+func (p *Platform) succeeded(h busHost) *machine {
+	old := p.machines[p.at[h.addr]]
+	if old == nil || old.id == h.entry.Machine || h.entry.State == placer.Gone {
+		return nil
+	}
+	old.state, old.entry.State = placer.Gone, placer.Gone
+	old.closeIdle()
+	return old
+}
+
 // settle lets go of a machine that is gone and empty.
 func (m *machine) settle() {
 	if m.state != placer.Gone || len(m.bids) > 0 {
@@ -165,25 +196,58 @@
 	return slices.DeleteFunc(slices.Clone(m.links), func(l *link) bool { return l.left })
 }
 
-// take finds a link that carries no set-up, opens one, or shares the one that carries least.
+// take finds a link that carries no set-up, opens one, or shares the one that carries least. It returns nil where there
+// is none and none may be opened.
 func (m *machine) take() *link {
 	var best *link
 	links := m.kept()
 	for _, l := range links {
-		if !l.opened && len(l.bids) > 0 {
+		if !l.opened && len(l.bids) > 0 || l.idle() && !l.state(m.p.loop.Now(), false).Fits() {
 			continue
 		}
 		if best == nil || len(l.bids) < len(best.bids) {
 			best = l
 		}
 	}
-	if best != nil && len(best.bids) == 0 || best != nil && len(links) >= porter.MostLinks(m.p.d.Sockets, len(m.p.machines)) {
+	if best != nil && (len(best.bids) == 0 || len(links) >= porter.MostLinks(m.p.d.Sockets, len(m.p.machines)) || !m.p.room()) {
 		return best
 	}
 	return m.reach()
 }
 
+// short tells whether there may be no more links. Each holds a descriptor, and callers and bus need theirs.
+func (p *Platform) short() bool { return p.links >= porter.AllLinks(p.d.Sockets) }
+
+// room tells whether a link may be opened; where there may be no more, one that carries nothing makes way.
+func (p *Platform) room() bool {
+	if !p.short() {
+		return true
+	}
+	now, least := p.loop.Now(), 0
+	var worst *link
+	for _, id := range slices.Sorted(maps.Keys(p.machines)) {
+		for i, l := range p.machines[id].links {
+			if !l.idle() {
+				continue
+			}
+			if n := l.state(now, i == 0).Yields(); n >= 0 && (worst == nil || n < least || n == least && l.usedAt < worst.usedAt) {
+				worst, least = l, n
+			}
+		}
+	}
+	if worst != nil {
+		worst.left = true
+		worst.conn.Close()
+	}
+	return !p.short()
+}
+
+// reach opens a link; nil where there may be no more.
 func (m *machine) reach() *link {
+	if !m.p.room() {
+		return nil
+	}
+	m.p.links++
 	l := &link{m: m, lines: jsonline.Lines{Most: jsonline.MostBytes}, bids: map[placer.ContainerID]*bid{}, probes: map[string]*probing{},
 		usedAt: m.p.loop.Now()}
 	l.conn = m.p.loop.Dial(m.addr, l, outputOfLink, m.p.d.Connect)
@@ -191,6 +255,12 @@
 	return l
 }
 
+// state is what the porter is asked about.
+func (l *link) state(now loop.Tick, first bool) porter.Link {
+	return porter.Link{First: first, Stands: l.m.standing > 0, Here: l.stands > 0, Idle: porter.Time(now - l.usedAt),
+		Closes: porter.Time(l.m.p.d.IdleLinks)}
+}
+
 // when runs do once the link stands.
 func (l *link) when(do func()) {
 	if l.opened {
@@ -222,6 +292,7 @@
 func (l *link) Closed(_ *loop.Conn, why error) {
 	m, p := l.m, l.m.p
 	m.links = slices.DeleteFunc(m.links, func(x *link) bool { return x == l })
+	p.links--
 	l.waiting = nil
 	m.broke = m.broke || l.opened && !l.left
 	never := placer.NoConnect
@@ -264,7 +335,10 @@
 func (p *Platform) offer(a placer.Bid) {
 	c := p.containers[a.ID]
 	if c == nil || c.answered || c.bid != nil {
-		p.log.Error("bid on a container that is not open", "id", a.ID)
+		// Its owner went in the same batch, with the answer to another container of it that could not be written. Each bid has
+		// its outcome all the same, or the module would count it for good.
+		p.log.Info("bid on a container that is not open", "id", a.ID)
+		p.feed(placer.Ended{ID: a.ID, Machine: a.Machine, Outcome: placer.NotSent, Over: true})
 		return
 	}
 	now := p.loop.Now()
@@ -288,7 +362,10 @@
 			p.over(b, placer.Ended{Outcome: placer.NoConnect})
 		}
 	})
-	b.link = b.at.take()
+	if b.link = b.at.take(); b.link == nil {
+		p.over(b, placer.Ended{Outcome: placer.NotSent})
+		return
+	}
 	b.link.bids[a.ID] = b
 	b.link.when(func() {
 		if c.bid == b {
@@ -328,10 +405,21 @@
 		return
 	}
 	b.ended = true
-	if b.at.addr == "" {
+	p.passOn(b, cause)
+}
+
+// passOn tells a machine that an owner ends what stands there, on a link of its own where the set-up's is gone; where there
+// is none to be had, once there is.
+func (p *Platform) passOn(b *bid, cause int) {
+	c := b.c
+	if b.at.addr == "" || c.bid != b {
 		return
 	}
 	l := b.at.take()
+	if l == nil {
+		p.loop.After(houseEvery, func() { p.passOn(b, cause) })
+		return
+	}
 	l.when(func() {
 		l.write(&jsonline.Message{Op: jsonline.End, Call: string(c.ask.ID), Why: jsonline.Because(max(cause, 0))})
 	})
@@ -342,7 +430,16 @@
 var outcomes = map[int]placer.Outcome{jsonline.NoRoom: placer.Full, jsonline.Faulty: placer.Erred,
 	jsonline.Moot: placer.NotSent, jsonline.GivenUp: placer.Finished}
 
-var fates = map[int]placer.Outcome{jsonline.GivenUp: placer.Finished, jsonline.Cancelled: placer.Stopped}
+// fate is what became of a container that stood, by the cause of its end.
+func fate(cause int) placer.Outcome {
+	switch cause {
+	case jsonline.GivenUp:
+		return placer.Finished
+	case jsonline.Cancelled:
+		return placer.Stopped
+	}
+	return placer.Reset
+}
 
 var reasons = map[string]placer.Reason{"cpu_full": placer.NoCores, "mem_full": placer.NoMemory, "busy": placer.LongQueue,
 	"wrong_host": placer.NotHere, "oom": placer.Evicted, "preempted": placer.PushedOut, "drained": placer.SentAway}
@@ -364,14 +461,15 @@
 			return p.accepted(b, msg)
 		}
 	case jsonline.End:
+		if b == nil {
+			p.notice(vigil.Said{Machine: string(m.id), Call: msg.Call, Cause: msg.Cause()})
+		}
 		if b == nil || !b.stands && b.link != l {
 			return nil
 		}
 		e := placer.Ended{Reason: reasons[msg.With["note"]], Report: report(msg.With["load"]), Outcome: placer.Reset}
 		if b.stands {
-			if o, ok := fates[msg.Cause()]; ok {
-				e.Outcome = o
-			}
+			e.Outcome = fate(msg.Cause())
 			p.released(b, msg.Cause(), e)
 			return nil
 		}
@@ -444,8 +542,12 @@
 		p.feed(placer.Probed{Machine: id, Outcome: placer.NotSent})
 		return
 	}
-	p.lastProbe++
 	l := m.take()
+	if l == nil {
+		p.feed(placer.Probed{Machine: id, Outcome: placer.NotSent})
+		return
+	}
+	p.lastProbe++
 	q := &probing{call: fmt.Sprintf("%016x", p.lastProbe), link: l, sentAt: p.loop.Now()}
 	l.probes[q.call] = q
 	q.timer = p.loop.After(probeWithin, func() { p.probed(q, placer.TimedOut, nil) })
@@ -467,15 +569,13 @@
 // a new one is opened, as an end that was on its way is told again on that.
 func (m *machine) house(now loop.Tick) {
 	for i, l := range m.kept() {
-		here := porter.Link{First: i == 0, Stands: m.standing > 0, Here: l.stands > 0,
-			Idle: porter.Time(now - l.usedAt), Closes: porter.Time(m.p.d.IdleLinks)}
-		if l.idle() && !here.Keeps() {
+		if l.idle() && !l.state(now, i == 0).Keeps() {
 			l.leave()
 		}
 	}
-	reach := m.broke || len(m.kept()) == 0
-	m.broke = false
-	if m.standing > 0 && reach && m.addr != "" && m.state != placer.Gone {
-		m.reach()
+	if m.standing == 0 || m.addr == "" || m.state == placer.Gone {
+		m.broke = false
+	} else if m.broke || len(m.kept()) == 0 && !m.p.short() {
+		m.broke = m.reach() == nil
 	}
 }
--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -11,6 +11,7 @@
 	"glenport/internal/jsonline"
 	"glenport/internal/loop"
 	"glenport/internal/porter"
+	"glenport/internal/vigil"
 	"glenport/placer"
 )
 
@@ -141,6 +142,7 @@
 	}
 	c := &container{ask: ask, class: m.With["class"], idem: m.With["idem"], desc: slices.Clone(m.Desc), caller: k}
 	p.containers[ask.ID] = c
+	p.unanswered++
 	p.tell(porter.Asked{Caller: k.number})
 	p.feed(placer.Asked{Ask: ask})
 	return nil
@@ -163,6 +165,13 @@
 	m.bids[ask.ID] = c.bid
 	m.stand(1)
 	p.feed(placer.TookOver{Ask: ask, Machine: at})
+	if m.entry.Machine != "" && m.state == placer.Gone {
+		// It was heard to be gone before it was named. So nothing ever stands at a machine that is gone, at whose address its
+		// successor may be: that one's signs of life would be taken for the other's.
+		m.lose(p.loop.Now())
+		return
+	}
+	p.notice(vigil.Named{Machine: string(at), Call: string(ask.ID)})
 }
 
 // readAsk reads a set-up; at is the machine that holds the container already.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"maps"
+	"os"
 	"slices"
 
 	"glenport/internal/jsonline"
@@ -42,12 +43,16 @@
 	seen       []vigil.Event                     // likewise
 	containers map[placer.ContainerID]*container // until answered, without a bid and over
 	machines   map[placer.MachineID]*machine     // until gone from the bus and empty
+	at         map[string]placer.MachineID       // which of them is at an address, until it is gone
 	callers    map[porter.CallerID]*caller       // until their connection ends
 	bus        bus
 	scratch    []byte
 	lastProbe  uint64
 	lastCaller porter.CallerID
 
+	unanswered int // containers that are owed an answer
+	links      int // connections to machines, also those that are being left
+
 	leaving   bool // told to stop
 	leavingAt loop.Tick
 }
@@ -81,7 +86,7 @@
 // New makes a placer and opens its door. Run frees what it holds.
 func New(d *Deployment, decider Decider, log *slog.Logger, trace bool) (*Platform, error) {
 	p := &Platform{d: d, log: log, decider: decider, trace: trace, containers: map[placer.ContainerID]*container{},
-		machines: map[placer.MachineID]*machine{}, callers: map[porter.CallerID]*caller{},
+		machines: map[placer.MachineID]*machine{}, at: map[string]placer.MachineID{}, callers: map[porter.CallerID]*caller{},
 		porter: porter.New(d.Sockets), vigil: vigil.New()}
 	p.bus = bus{p: p, addr: d.Bus, last: d.Last}
 	var err error
@@ -136,6 +141,25 @@
 	p.loop.Post(func() { p.bus.move(d.Bus) })
 }
 
+// Obey follows signals to leave, and signals that there is a new file; it returns at once. A file that is slow to read holds
+// up neither the order to leave nor a later file: the one that counts is read after the last signal.
+func (p *Platform) Obey(leave, renew <-chan os.Signal, load func() (*Deployment, error)) {
+	go func() {
+		for range leave {
+			p.Leave()
+		}
+	}()
+	go func() {
+		for range renew {
+			if d, err := load(); err != nil {
+				p.log.Error("the new file is not used", "why", err)
+			} else {
+				p.Renew(d)
+			}
+		}
+	}()
+}
+
 func (p *Platform) feed(e placer.Event) { p.events = append(p.events, e) }
 
 func (p *Platform) tell(e porter.Event)  { p.atDoor = append(p.atDoor, e) }
@@ -157,6 +181,12 @@
 	}
 	if len(p.events)+len(p.atDoor)+len(p.seen) > 0 {
 		p.loop.Again()
+		return
+	}
+	// Here and nowhere else a leaving placer ends: all that was read has been acted on, and nothing is read before the exit.
+	if p.leaving && !porter.Stays(porter.Time(p.loop.Now()-p.leavingAt), p.unanswered) {
+		p.log.Info("left", "standing", len(p.containers))
+		p.loop.End()
 	}
 }
 
@@ -187,6 +217,10 @@
 		if m := p.machines[placer.MachineID(a.Machine)]; m != nil && m.addr != "" {
 			m.reach()
 		}
+	case vigil.Over:
+		if m := p.machines[placer.MachineID(a.Machine)]; m != nil && m.bids[placer.ContainerID(a.Call)] != nil {
+			p.released(m.bids[placer.ContainerID(a.Call)], a.Cause, placer.Ended{Outcome: fate(a.Cause)})
+		}
 	case vigil.Lost:
 		if m := p.machines[placer.MachineID(a.Machine)]; m != nil {
 			p.log.Info("machine lost", "machine", m.id, "standing", m.standing, "silent ms", a.Silent/10)
@@ -245,7 +279,7 @@
 	if c == nil || c.answered {
 		return
 	}
-	c.answered = true
+	p.close(c)
 	if c.caller != nil {
 		m.Call = string(id)
 		c.caller.write(m)
@@ -257,6 +291,12 @@
 	p.letOff(c)
 }
 
+// close notes that no answer is owed for a container any more.
+func (p *Platform) close(c *container) {
+	c.answered = true
+	p.unanswered--
+}
+
 // letOff calls off the bid of a container that awaits none any more.
 func (p *Platform) letOff(c *container) {
 	if c.bid != nil && !c.bid.stands {
@@ -268,7 +308,7 @@
 
 // vanish ends a container whose owner waits no longer.
 func (p *Platform) vanish(c *container) {
-	c.answered = true
+	p.close(c)
 	if c.caller != nil {
 		p.tell(porter.TookBack{Caller: c.caller.number})
 	}
@@ -330,20 +370,19 @@
 		p.machines[id].house(now)
 	}
 	p.bus.house(now)
-	if p.leaving && !porter.Stays(porter.Time(now-p.leavingAt), p.unanswered()) {
-		p.log.Info("left", "standing", len(p.containers))
-		p.loop.Stop()
+	if p.leaving && porter.Hurries(porter.Time(now-p.leavingAt)) {
+		p.hurry()
 	}
 }
 
-func (p *Platform) unanswered() int {
-	n := 0
-	for _, c := range p.containers {
-		if !c.answered {
-			n++
+// hurry ends the bids of what is still unanswered; the module then answers each, as after its own time.
+func (p *Platform) hurry() {
+	for _, id := range slices.Sorted(maps.Keys(p.containers)) {
+		if c := p.containers[id]; !c.answered && c.bid != nil {
+			p.callOff(c.bid)
+			p.over(c.bid, placer.Ended{Outcome: placer.Finished})
 		}
 	}
-	return n
 }
 
 // line writes a message for a connection; it holds until the next.
--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -25,13 +25,16 @@
 	settled     = Second / 5       // a caller younger than this may have a set-up on the way
 	firstRest   = 50 * Millisecond // after a message that was turned away; it doubles with each more
 	longestRest = Second
-	staleAfter  = 4 * Second  // owners close a connection of their own that was unused for so long
-	tellAgain   = Second / 4  // after this, who was told of an end has not heard it
-	tellSome    = Second      // until then only an owner who has shown that work of his stands is told,
-	tellAny     = Second / 2  // where there is one: the word is owed within a second
-	tellUntil   = 10 * Second // then an end that nobody hears is dropped
-	leavesAfter = 3 * Second  // a placer told to leave takes in what is on its way, and tells ends, for so long
-	idleLink    = 5 * Second  // a link beyond a machine's first that carries nothing is closed after it
+	staleAfter  = 4 * Second     // owners close a connection of their own that was unused for so long
+	tellAgain   = Second / 4     // after this, who was told of an end has not heard it
+	tellSome    = Second         // until then only an owner who has shown that work of his stands is told,
+	tellAny     = Second / 2     // where there is one: the word is owed within a second
+	tellUntil   = 10 * Second    // then an end that nobody hears is dropped
+	leavesAfter = 3 * Second     // a placer told to leave takes in what is on its way, and tells ends, for so long,
+	leavesBy    = 7 * Second / 2 // and owes nothing from then on: it is killed 3.7 s after it was told, at the soonest
+	idleLink    = 5 * Second     // a link beyond a machine's first that carries nothing is closed after it
+	reserve     = 16             // descriptors for bus (two while it moves), file, log, listener, event queues and runtime
+	callTime    = Second / 2     // where links are short, one that carries nothing makes way after so long
 )
 
 // CallerID numbers the callers in the order in which they came.
@@ -301,6 +304,11 @@
 // MostLinks is the number of links that each of so many machines may have.
 func MostLinks(descriptors, machines int) int { return max(1, descriptors/linksPart/max(1, machines)) }
 
+// AllLinks is the number of links that a placer may have in all: what callers and the program's own needs leave.
+func AllLinks(descriptors int) int {
+	return max(8, descriptors-max(8, descriptors/callersPart)-reserve)
+}
+
 // Link is what counts when it is asked whether a link stays.
 type Link struct {
 	First  bool // the machine's
@@ -322,5 +330,26 @@
 	return l.Idle < min(idleLink, l.Closes/2)
 }
 
+// Yields tells in which order links that carry nothing make way where there may be no more: the least first, never one
+// below 0. What ended at the machine of a link that made way is said again on the next one, and a vigil calls each machine
+// where something stands every few seconds.
+func (l Link) Yields() int {
+	switch {
+	case l.Idle < callTime:
+		return -1
+	case l.Here:
+		return 2
+	case l.Stands:
+		return 1
+	}
+	return 0
+}
+
+// Fits tells whether a link may carry a bid: not one that the machine may be closing right now.
+func (l Link) Fits() bool { return l.Idle < l.Closes/2 }
+
+// Hurries tells whether a placer that was told to leave so long ago answers what is still open, before it is killed.
+func Hurries(since Time) bool { return since >= leavesBy }
+
 // Stays tells whether a placer that was told to leave so long ago, with so many set-ups unanswered, stays.
 func Stays(since Time, unanswered int) bool { return since < leavesAfter || unanswered > 0 }
--- a/internal/porter/porter_test.go
+++ b/internal/porter/porter_test.go
@@ -134,6 +134,35 @@
 	}
 }
 
+// Callers, links and the program's own descriptors stay within what a placer may hold, however few that are, and where there
+// may be no more links the one that is missed least makes way.
+func TestFewDescriptors(t *testing.T) {
+	for _, n := range []int{64, 100, 256, 576, 1024} {
+		if links := AllLinks(n); links < 8 || n/callersPart+links+reserve > n {
+			t.Errorf("of %d descriptors %d are for links", n, links)
+		}
+	}
+	links := []Link{ // in the order in which they make way
+		{Idle: Second}, {First: true, Idle: Second}, {Stands: true, Idle: Second}, {Stands: true, Here: true, Idle: Second}}
+	last := 0
+	for _, l := range links {
+		if n := l.Yields(); n < last {
+			t.Errorf("%+v yields at %d, after %d", l, n, last)
+		} else {
+			last = n
+		}
+		if l.Idle = callTime - 1; l.Yields() >= 0 {
+			t.Errorf("%+v yields before its machine could speak", l)
+		}
+	}
+	if last != 2 {
+		t.Errorf("one by which something stands yields at %d", last)
+	}
+	if at := 30 * Second; !(Link{Idle: 15*Second - 1, Closes: at}).Fits() || (Link{Idle: 15 * Second, Closes: at}).Fits() {
+		t.Error("a bid may cross the close of an idle link")
+	}
+}
+
 // An end is told to who asked, else to callers that speak for owners, one after the other until one has heard it.
 func TestTell(t *testing.T) {
 	const tenth = Second / 10
@@ -195,9 +224,12 @@
 		since      Time
 		unanswered int
 		want       bool
-	}{{Second, 0, true}, {3 * Second, 0, false}, {3 * Second, 1, true}} {
+	}{{Second, 0, true}, {3 * Second, 0, false}, {3 * Second, 1, true}, {4 * Second, 1, true}} {
 		if got := Stays(tc.since, tc.unanswered); got != tc.want {
 			t.Errorf("after %d with %d unanswered: %t", tc.since, tc.unanswered, got)
 		}
+		if tc.since <= 3*Second == Hurries(tc.since) { // it is killed 3.7 s after it was told, at the soonest
+			t.Errorf("hurries after %d: %t", tc.since, Hurries(tc.since))
+		}
 	}
 }
--- a/internal/vigil/vigil.go
+++ b/internal/vigil/vigil.go
@@ -18,6 +18,8 @@
 	quietFor  = 2 * Second          // silence after which a machine is looked at
 	lookEvery = Second              // and how often
 	lostAfter = 6*Second + Second/2 // silence after which, with every look failed, what stood there is lost
+	saidFor   = 10 * Second         // how long an end that nobody here knows of is kept, for who names its container yet,
+	saidMost  = 4096                // and how many
 )
 
 // Event is something that happened to a machine.
@@ -33,6 +35,14 @@
 	Heard struct{ Machine string }
 	// Refused is a connection that was turned down: nobody is there.
 	Refused struct{ Machine string }
+	// Said is an end of something that nobody here knows of. After a start machines tell what ended meanwhile on the first
+	// link, and owners may name it as standing only then.
+	Said struct {
+		Machine, Call string
+		Cause         int
+	}
+	// Named is a container that an owner has named as standing at a machine.
+	Named struct{ Machine, Call string }
 	// Tick tells that some time has passed.
 	Tick struct{}
 )
@@ -40,6 +50,8 @@
 func (Stands) event()  {}
 func (Heard) event()   {}
 func (Refused) event() {}
+func (Said) event()    {}
+func (Named) event()   {}
 func (Tick) event()    {}
 
 // Action is something that the host is to do.
@@ -53,13 +65,28 @@
 		Machine string
 		Silent  Time // 0: it turned a connection down
 	}
+	// Over ends a container that was named as standing after its machine had said that it is over.
+	Over struct {
+		Machine, Call string
+		Cause         int
+	}
 )
 
 func (Look) action() {}
 func (Lost) action() {}
+func (Over) action() {}
 
-// Vigil watches machines at which something stands. Its one table is emptied as nothing stands there any more.
-type Vigil struct{ watched map[string]*watch }
+// Vigil watches machines at which something stands, until nothing stands there any more, and keeps ends that nobody knows
+// of, the earliest first, for saidFor.
+type Vigil struct {
+	watched map[string]*watch
+	said    []said
+}
+
+type said struct {
+	Said
+	at Time
+}
 
 type watch struct {
 	machine  string
@@ -88,7 +115,18 @@
 			if v.watched[e.Machine] != nil {
 				out = append(out, Lost{Machine: e.Machine})
 			}
+		case Said:
+			v.said = append(v.said[max(0, len(v.said)+1-saidMost):], said{e, now})
+		case Named:
+			for i, s := range v.said {
+				if s.Machine == e.Machine && s.Call == e.Call {
+					v.said = slices.Delete(v.said, i, i+1)
+					out = append(out, Over(s.Said))
+					break
+				}
+			}
 		case Tick:
+			v.said = slices.DeleteFunc(v.said, func(s said) bool { return now-s.at > saidFor })
 			for _, w := range v.sorted() {
 				silent := now - w.heardAt
 				switch {
--- a/internal/vigil/vigil_test.go
+++ b/internal/vigil/vigil_test.go
@@ -51,3 +51,48 @@
 		})
 	}
 }
+
+// An end that nobody here knew of is told to who names its container later, once; ends are kept for a while and not without
+// bound.
+func TestSaidBeforeNamed(t *testing.T) {
+	said := Said{"a", "x", 16}
+	many := make([]Event, saidMost+5)
+	for i := range many {
+		many[i] = Said{"a", fmt.Sprint(i), 16}
+	}
+	for _, tc := range []struct {
+		name   string
+		before []Event
+		after  Time
+		named  Named
+		want   int
+	}{
+		{"named soon", []Event{said}, Second, Named{"a", "x"}, 1},
+		{"said twice", []Event{said, said}, Second, Named{"a", "x"}, 1},
+		{"at another machine", []Event{said}, Second, Named{"b", "x"}, 0},
+		{"another call", []Event{said}, Second, Named{"a", "y"}, 0},
+		{"named late", []Event{said}, saidFor + 1, Named{"a", "x"}, 0},
+		{"the earliest of too many", many, Second, Named{"a", "0"}, 0},
+		{"the last of too many", many, Second, Named{"a", fmt.Sprint(saidMost + 4)}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			v := New()
+			v.Handle(0, tc.before)
+			if len(v.said) > saidMost {
+				t.Errorf("%d ends are kept", len(v.said))
+			}
+			out := v.Handle(tc.after, []Event{Tick{}, tc.named})
+			for _, a := range out {
+				if o, ok := a.(Over); !ok || o.Machine != tc.named.Machine || o.Call != tc.named.Call || o.Cause != 16 {
+					t.Errorf("got %+v", a)
+				}
+			}
+			if len(out) != tc.want {
+				t.Errorf("%d ends told, want %d", len(out), tc.want)
+			}
+			if v.Handle(tc.after+saidFor+1, []Event{Tick{}}); len(v.said) > 0 {
+				t.Errorf("%d ends are kept for good", len(v.said))
+			}
+		})
+	}
+}
