--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -35,7 +35,7 @@
 	bids    map[placer.ContainerID]*bid // out, or standing there
 
 	standing int
-	broke    bool      // a link was lost since something stands: the machine tells on the next one what it said on that
+	broke    bool // a link was lost since something stands: the machine tells on the next one what it said on that
 }
 
 // stand counts what stands at a machine.
