Naming what stands keeps a caller only while nobody is known to speak for owners

At fault: porter took at as proof that a caller speaks for owners. Anybody can say it; after a start, though, owners say nothing else at first. Change: it is a word of its own (Named), and keeps a caller only while none is there that was given a yes or heard of an end.

--- a/internal/platform/owners.go
+++ b/internal/platform/owners.go
@@ -136,7 +136,7 @@
 		return nil
 	}
 	if at != "" {
-		p.tell(porter.Proved{Caller: k.number})
+		p.tell(porter.Named{Caller: k.number})
 		p.takeOver(k, ask, at)
 		return nil
 	}
--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -56,9 +56,11 @@
 	}
 	TookBack   struct{ Caller CallerID } // its owner gave a set-up up
 	TurnedAway struct{ Caller CallerID } // a message that nothing can be done with was answered
-	// Proved tells that a caller speaks for owners: it was given a yes, heard of an end, or named what stands.
+	// Proved tells that a caller speaks for owners: it was given a yes, or heard of an end.
 	Proved struct{ Caller CallerID }
-	Left   struct{ Caller CallerID }
+	// Named tells that a caller named what stands. Anybody can do that, but after a start owners do nothing else at first.
+	Named struct{ Caller CallerID }
+	Left  struct{ Caller CallerID }
 	// Over is a container that stood and has ended; Caller is who asked for it, 0 where that has left.
 	Over struct {
 		Call   string
@@ -76,6 +78,7 @@
 func (TookBack) event()   {}
 func (TurnedAway) event() {}
 func (Proved) event()     {}
+func (Named) event()      {}
 func (Left) event()       {}
 func (Over) event()       {}
 func (HeardOver) event()  {}
@@ -133,10 +136,14 @@
 	open   int  // set-ups without an answer
 	sent   bool
 	proved bool
+	named  bool
 	rest   Time
 	going  bool
 }
 
+// speaks tells whether a caller speaks for owners, by what it has shown or says.
+func (c *caller) speaks() bool { return c.proved || c.named }
+
 // New makes the porter of a placer that may hold so many descriptors.
 func New(descriptors int) *Porter {
 	return &Porter{most: max(8, descriptors/callersPart), callers: map[CallerID]*caller{}}
@@ -194,6 +201,10 @@
 			if c := p.callers[e.Caller]; c != nil {
 				c.proved = true
 			}
+		case Named:
+			if c := p.callers[e.Caller]; c != nil {
+				c.named = true
+			}
 		case Over:
 			x := &end{call: e.Call, cause: e.Cause, since: now}
 			p.ends = append(p.ends, x)
@@ -211,10 +222,13 @@
 					out = p.tell(now, x, out)
 				}
 			}
-			for _, c := range p.sorted() {
+			callers := p.sorted()
+			spoken := slices.ContainsFunc(callers, func(c *caller) bool { return c.proved && !c.going })
+			for _, c := range callers {
 				switch {
 				case c.going || c.open > 0:
-				case !c.sent && !c.proved && now-c.came > unknownFor: // one that named what stands is owed its end
+				case c.named && !spoken: // nobody else could be told what ends
+				case !c.sent && !c.proved && now-c.came > unknownFor:
 					out = p.letGo(c, "it has asked nothing", out)
 				case c.half > 0 && now-c.half > halfFor:
 					out = p.letGo(c, "its message never ends", out)
@@ -232,12 +246,12 @@
 	var to *caller
 	callers := p.sorted()
 	others := tellAny
-	if slices.ContainsFunc(callers, func(c *caller) bool { return c.proved && !c.going }) {
+	if slices.ContainsFunc(callers, func(c *caller) bool { return c.speaks() && !c.going }) {
 		others = tellSome
 	}
 	for _, c := range callers {
-		fits := !c.going && (c.proved || (c.sent || c.open > 0) && now-x.since >= others) && !slices.Contains(x.tried, c.id)
-		if fits && (to == nil || c.proved && !to.proved || c.proved == to.proved && c.usedAt >= to.usedAt) {
+		fits := !c.going && (c.speaks() || (c.sent || c.open > 0) && now-x.since >= others) && !slices.Contains(x.tried, c.id)
+		if fits && (to == nil || c.speaks() && !to.speaks() || c.speaks() == to.speaks() && c.usedAt >= to.usedAt) {
 			to = c
 		}
 	}
@@ -276,9 +290,9 @@
 		switch {
 		case c.open > 0:
 			return awaits
-		case c.proved && now-c.usedAt > staleAfter:
+		case c.speaks() && now-c.usedAt > staleAfter:
 			return 2
-		case c.proved:
+		case c.speaks():
 			return 4
 		case now-c.came < settled:
 			return fresh
