Crowds and bursts leave the bus its descriptors at every moment, and one that comes back is used

Callers let go and links that make way free their descriptors only at the end of the turn; 64 accepts and any number of links could come before. Ruled out: lingering closes (none waits for output there). At fault: loop.acceptAtOnce, platform.room, and a reserve that counted the program's own needs only. Change: 8 accepts and 8 links that make way a turn; 32 descriptors in reserve, the rest in halves for callers and links (owners hold a third at most). The most connections at once stand in the last log line. Tests: TestCrowdLeavesReserve, TestFewDescriptors, TestDescriptorComesBack; each fails without, 20 times with -race.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -28,7 +28,7 @@
 
 const (
 	readAtOnce    = 64 << 10
-	acceptAtOnce  = 64
+	acceptAtOnce  = 8                 // a host that lets others go for them frees their descriptors only at the end of the turn
 	acceptAgain   = 100 * Millisecond // after a listener failed
 	lingerAtClose = 2 * Second
 	heardOut      = 128 // reads, more than a kernel holds of what a peer that has hung up said before
@@ -60,7 +60,7 @@
 	dirty       []*Conn
 	buffer      []byte
 	events      []unix.EpollEvent
-	conns       int
+	conns, most int
 
 	mu      sync.Mutex
 	mail    []func()
@@ -110,6 +110,14 @@
 func (l *Loop) Conns() int  { return l.conns }
 func (l *Loop) Timers() int { return l.wheel.Len() }
 
+// MostConns is the most connections that there were at once.
+func (l *Loop) MostConns() int { return l.most }
+
+func (l *Loop) grow() {
+	l.conns++
+	l.most = max(l.most, l.conns)
+}
+
 // After runs do once, the span from now.
 func (l *Loop) After(span Tick, do func()) *Timer { return l.wheel.Set(l.now+span, do) }
 
@@ -351,7 +359,7 @@
 			continue
 		}
 		s.tell(nil)
-		s.l.conns++
+		s.l.grow()
 		h.Opened(c)
 	}
 }
@@ -362,9 +370,11 @@
 	s.tell(err)
 	if err == unix.EMFILE || err == unix.ENFILE {
 		if s.l.spare < 0 {
-			s.l.holdSpare()
-		}
-		if s.l.spare >= 0 {
+			// Where one can be had by now, there was one for the caller too: the next turn takes it, and does not turn it away.
+			if s.l.holdSpare(); s.l.spare >= 0 {
+				return
+			}
+		} else {
 			unix.Close(s.l.spare)
 			if fd, _, e := unix.Accept4(s.fd, unix.SOCK_CLOEXEC); e == nil {
 				unix.Close(fd)
@@ -433,7 +443,7 @@
 // DialWith sets a socket up by prepare before it connects.
 func (l *Loop) DialWith(addr string, h Handler, room int, within Tick, prepare func(fd int) error) *Conn {
 	c := &Conn{l: l, fd: -1, h: h, room: room}
-	l.conns++
+	l.grow()
 	if err := c.dial(addr, within, prepare); err != nil {
 		l.conns--
 		c.dead = true
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -498,3 +498,24 @@
 	}
 	return l
 }
+
+// A descriptor that comes back between a failed accept and the search for a spare one is the caller's.
+func TestDescriptorComesBack(t *testing.T) {
+	l, h := run(t, func() {}), newProbe()
+	addr := listen(t, l, h, 100, func(error) {})
+	on(l, func() bool {
+		unix.Close(l.spare)
+		l.spare = -1
+		failed := false
+		l.accept4 = func(fd, flags int) (int, unix.Sockaddr, error) {
+			if !failed {
+				failed = true
+				return -1, nil, unix.EMFILE
+			}
+			return unix.Accept4(fd, flags)
+		}
+		return true
+	})
+	dial(t, addr)
+	wait(t, h.opened)
+}
--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -155,7 +155,7 @@
 // With more machines than descriptors, links stay within their part, each bid goes out, and each end is heard of, also where
 // its link has made way.
 func TestFewLinks(t *testing.T) {
-	const machines, sockets, links = 40, 64, 16 // half of the sockets are for owners, 16 for the bus and the program itself
+	const machines, sockets, links = 40, 64, 16 // as many for owners, 32 for bus, bursts and the program itself
 	var mu sync.Mutex
 	over := map[string]bool{} // by call
 	hosts := make([]string, machines)
@@ -219,6 +219,59 @@
 	})
 }
 
+// A crowd at the door and a burst of bids, with more machines than links, leave the bus its descriptor at every moment.
+func TestCrowdLeavesReserve(t *testing.T) {
+	const sockets, machines, callers = 64, 60, 200
+	const links = (sockets - 32) / 2
+	hosts := make([]string, machines)
+	for i := range hosts {
+		addr := machineThat(t, `{"op":"accept","call":"%s","with":{},"desc":"d"}`)
+		hosts[i] = host(fmt.Sprintf("m%04x", i), addr, "ready", 0)
+	}
+	r := start(t, func(e placer.Event) []placer.Action {
+		switch e := e.(type) {
+		case placer.Asked:
+			return []placer.Action{placer.Bid{ID: e.ID, Machine: placer.MachineID("m" + string(e.ID[12:]))}}
+		case placer.Ended:
+			if !e.Over {
+				return []placer.Action{placer.PushBack{ID: e.ID}}
+			}
+		}
+		return nil
+	}, file(silentBus(t), sockets, event(1, true, hosts...)))
+	o := r.owner()
+	o.say(`{"op":"ended","call":"`+call+`","with":{}}`, `{"op":"test","call":"0000000000000001","with":{},"why":0}`)
+	o.hear()
+	for i := range links {
+		o.say(setUp(fmt.Sprintf("%016x", i), ""))
+		o.hear()
+	}
+	r.on(func() { // the crowd is there when the loop goes on
+		for range callers {
+			r.owner()
+		}
+	})
+	for full := false; !full; {
+		r.on(func() { full = len(r.p.callers) >= links })
+	}
+	r.on(func() { // and now the burst
+		for _, m := range r.p.machines {
+			for _, l := range m.links {
+				l.usedAt -= loop.Second
+			}
+		}
+		for i := links; i < machines; i++ {
+			o.say(setUp(fmt.Sprintf("%016x", i), ""))
+		}
+	})
+	await(r, func(e placer.Asked) bool { return e.ID == placer.ContainerID(fmt.Sprintf("%016x", machines-1)) })
+	r.on(func() {
+		if n := r.p.loop.MostConns(); n+14 > sockets { // that many the program itself may hold
+			t.Errorf("%d connections at once, of %d descriptors", n, sockets)
+		}
+	})
+}
+
 // A bid does not go out on a link that its machine may be closing as idle.
 func TestQuietLink(t *testing.T) {
 	var mu sync.Mutex
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -223,6 +223,9 @@
 	if !p.short() {
 		return true
 	}
+	if p.madeWay >= porter.AtOnce {
+		return false
+	}
 	now, least := p.loop.Now(), 0
 	var worst *link
 	for _, id := range slices.Sorted(maps.Keys(p.machines)) {
@@ -238,6 +241,7 @@
 	if worst != nil {
 		worst.left = true
 		worst.conn.Close()
+		p.madeWay++
 	}
 	return !p.short()
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -52,6 +52,7 @@
 
 	unanswered int // containers that are owed an answer
 	links      int // connections to machines, also those that are being left
+	madeWay    int // of them in this turn, for others
 
 	leaving   bool // told to stop
 	leavingAt loop.Tick
@@ -166,6 +167,7 @@
 func (p *Platform) notice(e vigil.Event) { p.seen = append(p.seen, e) }
 
 func (p *Platform) turn() {
+	p.madeWay = 0
 	p.decide()
 	if told := p.atDoor; len(told) > 0 {
 		p.atDoor = nil
@@ -185,7 +187,7 @@
 	}
 	// Here and nowhere else a leaving placer ends: all that was read has been acted on, and nothing is read before the exit.
 	if p.leaving && !porter.Stays(porter.Time(p.loop.Now()-p.leavingAt), p.unanswered) {
-		p.log.Info("left", "standing", len(p.containers))
+		p.log.Info("left", "standing", len(p.containers), "most connections", p.loop.MostConns())
 		p.loop.End()
 	}
 }
--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -18,8 +18,8 @@
 
 // Tuned values. What a peer can do to a door, not one deployment, sets them.
 const (
-	callersPart = 2                // one part in so many of the descriptors is for callers,
-	linksPart   = 3                // and one for links to machines; the rest is for the bus, listener and log
+	callersPart = 2                // one part in so many of the descriptors beyond the reserve is for callers, the rest for links;
+	linksPart   = 3                // as long as there are enough, one part in so many of all is shared among the machines' links
 	unknownFor  = 2 * Second       // a caller that has been sent nothing by then, and awaits nothing, is let go
 	halfFor     = 2 * Second       // likewise one whose message is not whole by then
 	settled     = Second / 5       // a caller younger than this may have a set-up on the way
@@ -33,7 +33,7 @@
 	leavesAfter = 3 * Second     // a placer told to leave takes in what is on its way, and tells ends, for so long,
 	leavesBy    = 7 * Second / 2 // and owes nothing from then on: it is killed 3.7 s after it was told, at the soonest
 	idleLink    = 5 * Second     // a link beyond a machine's first that carries nothing is closed after it
-	reserve     = 16             // descriptors for bus (two while it moves), file, log, listener, event queues and runtime
+	reserve     = 32             // for event queues, runtime, log, listener, a file, the bus (two while it moves), and AtOnce twice
 	callTime    = Second / 2     // where links are short, one that carries nothing makes way after so long
 )
 
@@ -146,7 +146,7 @@
 
 // New makes the porter of a placer that may hold so many descriptors.
 func New(descriptors int) *Porter {
-	return &Porter{most: max(8, descriptors/callersPart), callers: map[CallerID]*caller{}}
+	return &Porter{most: forCallers(descriptors), callers: map[CallerID]*caller{}}
 }
 
 // Handle takes what happened by now and returns what is to be done.
@@ -318,10 +318,14 @@
 // MostLinks is the number of links that each of so many machines may have.
 func MostLinks(descriptors, machines int) int { return max(1, descriptors/linksPart/max(1, machines)) }
 
+// AtOnce is how many links may make way in one turn: their descriptors are free only after it, and the reserve has to bear
+// them until then, as it does as many callers that are one too many.
+const AtOnce = reserve / 4
+
 // AllLinks is the number of links that a placer may have in all: what callers and the program's own needs leave.
-func AllLinks(descriptors int) int {
-	return max(8, descriptors-max(8, descriptors/callersPart)-reserve)
-}
+func AllLinks(descriptors int) int { return max(8, descriptors-forCallers(descriptors)-reserve) }
+
+func forCallers(descriptors int) int { return max(8, (descriptors-reserve)/callersPart) }
 
 // Link is what counts when it is asked whether a link stays.
 type Link struct {
--- a/internal/porter/porter_test.go
+++ b/internal/porter/porter_test.go
@@ -143,7 +143,7 @@
 // may be no more links the one that is missed least makes way.
 func TestFewDescriptors(t *testing.T) {
 	for _, n := range []int{64, 100, 256, 576, 1024} {
-		if links := AllLinks(n); links < 8 || n/callersPart+links+reserve > n {
+		if links := AllLinks(n); links < 8 || n >= 256 && New(n).most < n/3 || New(n).most+links+reserve > n {
 			t.Errorf("of %d descriptors %d are for links", n, links)
 		}
 	}
