A yes of a machine that is gone counts for nothing; more crossings of owners forced by tests

Forced on loopback (TestYesOfOneThatIsGone): a whole list leaves out a machine with a bid out; its yes, said before, made the container stand at a machine that is gone, whose address its successor may hold. At fault: accepted asked only for a description. Change: such a yes ends the bid as a reset and is taken back. Tests of what held already: an owner goes as its bid waits for a link (TestOwnerGoesAsLinkOpens), a call used anew at once, with the real module (TestCallUsedAnew), the order to leave at half a set-up (TestLeaveAtHalfASetUp), a second SIGTERM (TestSignalsCross).

--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"sync"
@@ -101,6 +102,7 @@
 	renew <- syscall.SIGHUP
 	renew <- syscall.SIGHUP // is taken as the first file is being read
 	leave <- syscall.SIGTERM
+	leave <- syscall.SIGTERM // the second changes nothing
 	o := r.owner()
 	for passed := true; passed; {
 		o.say(`{"op":"test","call":"0000000000000001","with":{},"why":0}`)
@@ -444,3 +446,126 @@
 		})
 	}
 }
+
+// An owner goes while its bid waits for a link: the machine hears nothing of it, or that it is taken back.
+func TestOwnerGoesAsLinkOpens(t *testing.T) {
+	heard := make(chan *jsonline.Message, 10)
+	addr := listen(t, func(m *peer) {
+		for msg := m.hear(); msg != nil; msg = m.hear() {
+			heard <- msg
+		}
+	})
+	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	o := r.owner()
+	r.on(func() {
+		r.script.on = func(e placer.Event) []placer.Action {
+			if e, ok := e.(placer.Asked); ok && e.ID == call {
+				o.c.Close() // the end is there before the link is
+			}
+			return bidToA(0)(e)
+		}
+	})
+	o.say(setUp(call, ""))
+	await[placer.Vanished](r, nil)
+	await[placer.Ended](r, nil)
+	r.owner().say(setUp(other, ""))
+	var offers, ends int
+	for {
+		msg := <-heard
+		if msg.Call == other {
+			break
+		}
+		if msg.Op == jsonline.Offer {
+			offers++
+		} else if msg.Op == jsonline.End && msg.Cause() == jsonline.GivenUp {
+			ends++
+		}
+	}
+	if offers != ends {
+		t.Errorf("the machine heard %d offers and %d ends of a set-up whose owner had gone", offers, ends)
+	}
+}
+
+// A call that was given up is used anew at once: it is another set-up, offered once and answered once.
+func TestCallUsedAnew(t *testing.T) {
+	addr := machineThat(t, `{"op":"accept","call":"%s","with":{},"desc":"d"}`)
+	d, err := parse([]byte(file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0)))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	module := placer.New(d.Terms)
+	r := start(t, nil, file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	r.on(func() { r.p.decider = module })
+	o := r.owner()
+	end := `{"op":"end","call":"` + call + `","with":{},"why":16}`
+	io.WriteString(o.c, setUp(call, "")+"\n"+end+"\n"+setUp(call, "")+"\n"+`{"op":"test","call":"0000000000000001","with":{},"why":0}`+"\n")
+	for _, op := range []jsonline.Op{jsonline.Tested, jsonline.Accept} {
+		if m := o.hear(); m == nil || m.Op != op {
+			t.Fatalf("heard %+v, want %s", m, op)
+		}
+	}
+	o.say(`{"op":"test","call":"0000000000000002","with":{},"why":0}`)
+	if m := o.hear(); m == nil || m.Op != jsonline.Tested {
+		t.Errorf("then heard %+v", m)
+	}
+}
+
+// The order to leave comes while a set-up is half read: its other half is taken in, and it is answered.
+func TestLeaveAtHalfASetUp(t *testing.T) {
+	addr := machineThat(t, `{"op":"accept","call":"%s","with":{},"desc":"d"}`)
+	r := start(t, bidToA(0), file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0))))
+	o := r.owner()
+	line := setUp(call, "") + "\n"
+	io.WriteString(o.c, line[:40])
+	for half := 0; half == 0; {
+		r.on(func() {
+			for _, k := range r.p.callers {
+				half = k.lines.Half()
+			}
+		})
+	}
+	r.p.Leave()
+	r.on(func() {})
+	io.WriteString(o.c, line[40:])
+	if m := o.hear(); m == nil || m.Op != jsonline.Accept {
+		t.Errorf("heard %+v", m)
+	}
+}
+
+// A whole list leaves out a machine: what stands there is over, and a yes that comes then counts for nothing and is taken back.
+func TestYesOfOneThatIsGone(t *testing.T) {
+	bus, tell := toldBus(t)
+	say, heard := make(chan bool), make(chan *jsonline.Message, 10)
+	addr := listen(t, func(m *peer) {
+		for msg := m.hear(); msg != nil; msg = m.hear() {
+			if msg.Op != jsonline.Offer {
+				heard <- msg
+				continue
+			}
+			if msg.Call == other {
+				<-say
+			}
+			m.say(`{"op":"accept","call":"` + msg.Call + `","with":{},"desc":"d"}`)
+		}
+	})
+	r := start(t, bidToA(0), file(bus, 256, event(1, true, host("a", addr, "ready", 0))))
+	o := r.owner()
+	o.say(setUp(call, ""))
+	o.hear()
+	o.say(setUp(other, ""))
+	await(r, func(e placer.Asked) bool { return e.ID == other })
+	tell(event(2, true))
+	if m := o.hear(); m == nil || m.Op != jsonline.End || m.Call != call {
+		t.Fatalf("heard %+v", m)
+	}
+	close(say)
+	if m := o.hear(); m == nil || m.Op != jsonline.End || m.Call != other {
+		t.Errorf("heard %+v", m)
+	}
+	if e := await(r, func(e placer.Ended) bool { return e.ID == other }); e.Outcome != placer.Reset || e.Over {
+		t.Errorf("got %+v", e)
+	}
+	if m := <-heard; m == nil || m.Op != jsonline.End || m.Call != other || m.Cause() != jsonline.GivenUp {
+		t.Errorf("the machine heard %+v", m)
+	}
+}
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -516,6 +516,11 @@
 	if len(msg.Desc) == 0 {
 		return errors.New("a yes without a description")
 	}
+	if b.at.state == placer.Gone { // said before it went: nothing is taken to stand at a machine that is gone
+		p.callOff(b)
+		p.over(b, placer.Ended{Outcome: placer.Reset})
+		return nil
+	}
 	p.loop.Cancel(b.timer)
 	delete(b.link.bids, c.ask.ID)
 	b.stands = true
