A leaving placer goes by the longest hard stop, and answers what is open before its kill

At fault: porter.leavesAfter and leavesBy. Change: both follow from the longest hard stop of the terms; what is open is answered 0.3 s before the kill at the soonest.

--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -186,7 +186,7 @@
 		return
 	}
 	// Here and nowhere else a leaving placer ends: all that was read has been acted on, and nothing is read before the exit.
-	if p.leaving && !porter.Stays(porter.Time(p.loop.Now()-p.leavingAt), p.unanswered) {
+	if p.leaving && !porter.Stays(porter.Time(p.loop.Now()-p.leavingAt), p.unanswered, p.longest()) {
 		p.log.Info("left", "standing", len(p.containers), "most connections", p.loop.MostConns())
 		p.loop.End()
 	}
@@ -372,11 +372,19 @@
 		p.machines[id].house(now)
 	}
 	p.bus.house(now)
-	if p.leaving && porter.Hurries(porter.Time(now-p.leavingAt)) {
+	if p.leaving && porter.Hurries(porter.Time(now-p.leavingAt), p.longest()) {
 		p.hurry()
 	}
 }
 
+// longest is the longest hard stop of the terms.
+func (p *Platform) longest() (longest porter.Time) {
+	for _, w := range p.d.Terms.Workloads {
+		longest = max(longest, porter.Time(w.HardStop))
+	}
+	return longest
+}
+
 // hurry ends the bids of what is still unanswered; the module then answers each, as after its own time.
 func (p *Platform) hurry() {
 	for _, id := range slices.Sorted(maps.Keys(p.containers)) {
--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -25,16 +25,17 @@
 	settled     = Second / 5       // a caller younger than this may have a set-up on the way
 	firstRest   = 50 * Millisecond // after a message that was turned away; it doubles with each more
 	longestRest = Second
-	staleAfter  = 4 * Second     // owners close a connection of their own that was unused for so long
-	tellAgain   = Second / 4     // after this, who was told of an end has not heard it
-	tellSome    = Second         // until then only an owner who has shown that work of his stands is told,
-	tellAny     = Second / 2     // where there is one: the word is owed within a second
-	tellUntil   = 10 * Second    // then an end that nobody hears is dropped
-	leavesAfter = 3 * Second     // a placer told to leave takes in what is on its way, and tells ends, for so long,
-	leavesBy    = 7 * Second / 2 // and owes nothing from then on: it is killed 3.7 s after it was told, at the soonest
-	idleLink    = 5 * Second     // a link beyond a machine's first that carries nothing is closed after it
-	reserve     = 32             // for event queues, runtime, log, listener, a file, the bus (two while it moves), and AtOnce twice
-	callTime    = Second / 2     // where links are short, one that carries nothing makes way after so long
+	staleAfter  = 4 * Second      // owners close a connection of their own that was unused for so long
+	tellAgain   = Second / 4      // after this, who was told of an end has not heard it
+	tellSome    = Second          // until then only an owner who has shown that work of his stands is told,
+	tellAny     = Second / 2      // where there is one: the word is owed within a second
+	tellUntil   = 10 * Second     // then an end that nobody hears is dropped
+	longestStay = 3 * Second      // a placer told to leave is killed a while after the longest hard stop, or after this
+	killedAfter = 7 * Second / 10 // where that is shorter, and so long after;
+	hurryBefore = 3 * Second / 10 // shortly before it owes nothing any more
+	idleLink    = 5 * Second      // a link beyond a machine's first that carries nothing is closed after it
+	reserve     = 32              // for event queues, runtime, log, listener, a file, the bus (two while it moves), and AtOnce twice
+	callTime    = Second / 2      // where links are short, one that carries nothing makes way after so long
 )
 
 // CallerID numbers the callers in the order in which they came.
@@ -388,8 +389,14 @@
 // Fits tells whether a link may carry a bid: not one that the machine may be closing right now.
 func (l Link) Fits() bool { return l.Idle < l.Closes/2 }
 
-// Hurries tells whether a placer that was told to leave so long ago answers what is still open, before it is killed.
-func Hurries(since Time) bool { return since >= leavesBy }
+// stay is how long a placer that was told to leave takes in what is on its way, and tells ends.
+func stay(longest Time) Time { return max(killedAfter, min(longest, longestStay)) }
 
-// Stays tells whether a placer that was told to leave so long ago, with so many set-ups unanswered, stays.
-func Stays(since Time, unanswered int) bool { return since < leavesAfter || unanswered > 0 }
+// Stays tells whether a placer that was told to leave so long ago, with so many set-ups unanswered, stays. Longest is the
+// longest hard stop.
+func Stays(since Time, unanswered int, longest Time) bool {
+	return since < stay(longest) || unanswered > 0
+}
+
+// Hurries tells whether it answers what is still open, before it is killed.
+func Hurries(since, longest Time) bool { return since >= stay(longest)+killedAfter-hurryBefore }
--- a/internal/porter/porter_test.go
+++ b/internal/porter/porter_test.go
@@ -232,15 +232,28 @@
 
 func TestStays(t *testing.T) {
 	for _, tc := range []struct {
-		since      Time
-		unanswered int
-		want       bool
-	}{{Second, 0, true}, {3 * Second, 0, false}, {3 * Second, 1, true}, {4 * Second, 1, true}} {
-		if got := Stays(tc.since, tc.unanswered); got != tc.want {
-			t.Errorf("after %d with %d unanswered: %t", tc.since, tc.unanswered, got)
+		longest, since  Time
+		unanswered      int
+		stays, hurrying bool
+	}{
+		{6 * Second, Second, 0, true, false},
+		{6 * Second, 3*Second - 1, 0, true, false},
+		{6 * Second, 3 * Second, 0, false, false},
+		{6 * Second, 3 * Second, 1, true, false},
+		{6 * Second, 34 * Second / 10, 1, true, true}, // killed at 3.7 s at the soonest, and asked four times a second
+		{Second, Second - 1, 0, true, false},
+		{Second, Second, 0, false, false},
+		{Second, 14 * Second / 10, 1, true, true},      // killed at 1.7 s
+		{Second / 10, 6 * Second / 10, 0, true, false}, // set-ups come for 0.6 s
+	} {
+		if got := Stays(tc.since, tc.unanswered, tc.longest); got != tc.stays {
+			t.Errorf("%+v: stays %t", tc, got)
+		}
+		if got := Hurries(tc.since, tc.longest); got != tc.hurrying {
+			t.Errorf("%+v: hurries %t", tc, got)
 		}
-		if tc.since <= 3*Second == Hurries(tc.since) { // it is killed 3.7 s after it was told, at the soonest
-			t.Errorf("hurries after %d: %t", tc.since, Hurries(tc.since))
+		if killed := min(tc.longest, 3*Second) + 7*Second/10; tc.hurrying && tc.since+Second/4 > killed {
+			t.Errorf("%+v: hurries too late", tc)
 		}
 	}
 }
