--- a/internal/platform/crossings_test.go
+++ b/internal/platform/crossings_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"strings"
 	"sync"
@@ -561,3 +562,53 @@
 		t.Errorf("the machine heard %+v", m)
 	}
 }
+
+// A link comes up after the bid that waited for it timed out: that bid is not sent on it, and the next one is.
+func TestLateLink(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})
+	syscall.Listen(fd, 0)
+	own, _ := syscall.Getsockname(fd)
+	addr := fmt.Sprintf("127.0.0.1:%d", own.(*syscall.SockaddrInet4).Port)
+	for range 4 { // takes what places there are: the kernel then passes further callers over, until they call again
+		if c, err := net.DialTimeout("tcp", addr, 50*time.Millisecond); err == nil {
+			c.Close()
+		}
+	}
+	config := file(silentBus(t), 256, event(1, true, host("a", addr, "ready", 0)))
+	r := start(t, func(e placer.Event) []placer.Action {
+		if e, ok := e.(placer.Asked); ok && e.ID == other {
+			return bidToA(9 * placer.Second)(e)
+		}
+		return bidToA(50 * placer.Millisecond)(e)
+	}, strings.Replace(config, `"connect_timeout_ms":250.0`, `"connect_timeout_ms":9000.0`, 1))
+	o := r.owner()
+	o.say(setUp(call, ""))
+	if e := await[placer.Ended](r, nil); e.ID != call || e.Outcome != placer.NoConnect {
+		t.Errorf("got %+v", e)
+	}
+	o.hear()
+	f := os.NewFile(uintptr(fd), "full")
+	l, err := net.FileListener(f)
+	f.Close()
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := make(chan string, 10)
+	t.Cleanup(listenOn(t, l, func(m *peer) {
+		for msg := m.hear(); msg != nil; msg = m.hear() {
+			heard <- msg.Call
+			m.say(`{"op":"accept","call":"` + msg.Call + `","with":{},"desc":"d"}`)
+		}
+	}))
+	o.say(strings.Replace(setUp(other, ""), `"2000"`, `"9000"`, 1))
+	if m := o.hear(); m == nil || m.Op != jsonline.Accept || m.Call != other {
+		t.Errorf("heard %+v", m)
+	}
+	if c := <-heard; c != other || len(heard) > 0 {
+		t.Errorf("the machine heard %s first, and %d more", c, len(heard))
+	}
+}
--- a/internal/platform/helpers_test.go
+++ b/internal/platform/helpers_test.go
@@ -176,6 +176,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(listenOn(t, l, serve))
+	return l.Addr().String()
+}
+
+// listenOn serves callers of a listener until what it returns is called.
+func listenOn(t *testing.T, l net.Listener, serve func(*peer)) (stop func()) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	var open []net.Conn
@@ -194,7 +200,7 @@
 			})
 		}
 	})
-	t.Cleanup(func() {
+	return func() {
 		l.Close()
 		mu.Lock()
 		for _, c := range open {
@@ -202,8 +208,7 @@
 		}
 		mu.Unlock()
 		wg.Wait()
-	})
-	return l.Addr().String()
+	}
 }
 
 // machineThat answers each set-up with lines; %s is its call.
