Links make way as far as free descriptors bear, not eight a turn

At fault: eight links a turn were too few where a turn takes in many set-ups, and bids went elsewhere for want of a link. Change: porter.Bears counts the connections there are at each, so the reserve is kept and what callers leave is used.

--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -223,7 +223,7 @@
 	if !p.short() {
 		return true
 	}
-	if p.madeWay >= porter.AtOnce {
+	if !porter.Bears(p.d.Sockets, p.loop.Conns()) {
 		return false
 	}
 	now, least := p.loop.Now(), 0
@@ -241,7 +241,6 @@
 	if worst != nil {
 		worst.left = true
 		worst.conn.Close()
-		p.madeWay++
 	}
 	return !p.short()
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -52,7 +52,6 @@
 
 	unanswered int // containers that are owed an answer
 	links      int // connections to machines, also those that are being left
-	madeWay    int // of them in this turn, for others
 
 	leaving   bool // told to stop
 	leavingAt loop.Tick
@@ -167,7 +166,6 @@
 func (p *Platform) notice(e vigil.Event) { p.seen = append(p.seen, e) }
 
 func (p *Platform) turn() {
-	p.madeWay = 0
 	p.decide()
 	if told := p.atDoor; len(told) > 0 {
 		p.atDoor = nil
--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -34,7 +34,7 @@
 	killedAfter = 7 * Second / 10 // where that is shorter, and so long after;
 	hurryBefore = 3 * Second / 10 // shortly before it owes nothing any more
 	idleLink    = 5 * Second      // a link beyond a machine's first that carries nothing is closed after it
-	reserve     = 32              // for event queues, runtime, log, listener, a file, the bus (two while it moves), and AtOnce twice
+	reserve     = 32              // for event queues, runtime, log, listener, a file, the bus (two while it moves), and bursts
 	callTime    = Second / 2      // where links are short, one that carries nothing makes way after so long
 )
 
@@ -341,9 +341,9 @@
 // MostLinks is the number of links that each of so many machines may have.
 func MostLinks(descriptors, machines int) int { return max(1, descriptors/linksPart/max(1, machines)) }
 
-// AtOnce is how many links may make way in one turn: their descriptors are free only after it, and the reserve has to bear
-// them until then, as it does as many callers that are one too many.
-const AtOnce = reserve / 4
+// Bears tells whether one more connection may be opened before one that makes way for it is closed: its descriptor is free
+// only after the turn, and until then the reserve has to bear it, beside the program's own needs and as many new callers.
+func Bears(descriptors, connections int) bool { return connections < descriptors-reserve+reserve/4 }
 
 // AllLinks is the number of links that a placer may have in all: what callers and the program's own needs leave.
 func AllLinks(descriptors int) int { return max(8, descriptors-forCallers(descriptors)-reserve) }
