--- a/placer/placer.go
+++ b/placer/placer.go
@@ -387,9 +387,10 @@
 	p.forget(c)
 }
 
-// blame holds machines to the errors that a container got there. It comes once the container ran elsewhere, or
-// is closed with a single error: one that erred at each of several machines is taken to be at fault itself and
-// speaks against none of them. Harm: where most machines are at fault it takes one more container to tell.
+// blame holds machines to the errors that a container got there. It comes once the container ran elsewhere,
+// or is closed with a single error: one that erred at each of several machines is taken to be at fault
+// itself and speaks against none of them. Harm: where most machines are at fault it takes one more
+// container to tell.
 func (p *Placer) blame(c *container) {
 	for _, e := range c.erred {
 		if e.sentAt < e.at.started {
