A message that never ends lets go also of a caller that named what stands

Found in reading the whole change again: in porter's Tick the case that keeps who named what stands came before the one for half messages, so such a caller could hold a message open for as long as nobody else spoke for owners. Now it lifts only the bound on callers that asked nothing. Test: TestWhoStays/named what stands, and then half a message; fails without; 20 times with -race.

--- a/internal/porter/porter.go
+++ b/internal/porter/porter.go
@@ -250,8 +250,8 @@
 			for _, c := range callers {
 				switch {
 				case c.going || c.open > 0:
-				case c.named && !spoken: // nobody else could be told what ends
-				case !c.sent && !c.proved && now-c.came > unknownFor:
+				// One that named what stands stays while nobody else could be told what ends.
+				case !c.sent && !c.proved && (!c.named || spoken) && now-c.came > unknownFor:
 					out = p.letGo(c, "it has asked nothing", out)
 				case c.half > 0 && now-c.half > halfFor:
 					out = p.letGo(c, "its message never ends", out)
--- a/internal/porter/porter_test.go
+++ b/internal/porter/porter_test.go
@@ -82,6 +82,7 @@
 		{"named what stands, where another did until it left", []Event{Named{1}, Came{2}, Proved{2}, Left{2}}, false},
 		{"named what stands and heard of its end", []Event{Named{1}, Over{"x", 16, 1}, HeardOver{"x", 1}, Came{2}, Proved{2}}, false},
 		{"says that it heard of an end that nobody told", []Event{HeardOver{"x", 1}}, true},
+		{"named what stands, and then half a message", []Event{Named{1}, Heard{1, true}}, true},
 		{"took all back", []Event{Asked{1}, TookBack{1}}, true},
 		{"half a message", []Event{Answered{Caller: 1}, Heard{1, true}}, true},
 		{"half a message, then the rest", []Event{Answered{Caller: 1}, Heard{1, true}, Heard{1, false}}, false},
