--- a/review/_lab/cluster.go
+++ b/review/_lab/cluster.go
@@ -91,7 +91,8 @@
 	group    *dedupGroup
 	listener net.Listener
 	started  uint64
-	loses    func() bool // whether the answer to an offer is lost; nil: never
+	loses    func() bool   // whether the answer to an offer is lost; nil: never
+	stopTime time.Duration // from a cancel to the end of the container
 
 	mu    sync.Mutex
 	conns map[string]*frameConn // by scheduler
@@ -150,7 +151,8 @@
 		case *protocol.Offer:
 			m.offer(c, hello, frame)
 		case *protocol.CancelAttempt:
-			m.finish(heldID{hello.Name, frame.SchedulerIncarnation, frame.AttemptID}, protocol.OutcomeStopped)
+			id := heldID{hello.Name, frame.SchedulerIncarnation, frame.AttemptID}
+			time.AfterFunc(m.stopTime, func() { m.finish(id, protocol.OutcomeStopped) })
 		case *protocol.Probe:
 			c.send(&protocol.ProbeReply{Seq: frame.Seq, Report: map[string]float64{"x0": 20}})
 		}
@@ -297,20 +299,25 @@
 	}
 }
 
-// cluster is a small deployment: one scheduler and a controller, each with a state folder, and stand-in machines.
+// cluster is a small deployment: schedulers and a controller, each with a state folder, and stand-in machines.
 type cluster struct {
 	*run
-	machines      []*clusterMachine
-	schedulerAddr string
-	schedulerFile string
-	api           string
-	controlFile   string
-	scheduler     *process
-	controller    *process
+	machines    []*clusterMachine
+	schedulers  []*clusterScheduler
+	api         string
+	controlFile string
+	controller  *process
 }
 
-// newCluster starts the stand-ins, writes the settings with the given workload classes, and starts both programs.
-func newCluster(r *run, machineCount int, classes string) (*cluster, error) {
+// clusterScheduler is a scheduler with the controller's path to it.
+type clusterScheduler struct {
+	name, addr, file string
+	path             *path
+	process          *process
+}
+
+// newCluster starts the stand-ins, writes the settings with the given workload classes, and starts the programs.
+func newCluster(r *run, machineCount, schedulerCount int, classes string) (*cluster, error) {
 	c := &cluster{run: r}
 	group := &dedupGroup{claims: map[string]*keyClaim{}}
 	for i := range machineCount {
@@ -324,38 +331,67 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.writeSettings(list, classes); err != nil {
-		return nil, err
+	for i := range schedulerCount {
+		s, err := c.newScheduler(i, schedulerCount, list, classes)
+		if err != nil {
+			return nil, err
+		}
+		c.schedulers = append(c.schedulers, s)
 	}
-	if err := c.startScheduler(); err != nil {
+	if err := c.writeControllerSettings(list); err != nil {
 		return nil, err
 	}
 	return c, c.startController()
 }
 
-func (c *cluster) writeSettings(list, classes string) (err error) {
-	if c.schedulerAddr, err = freeAddr(); err != nil {
-		return err
+// newScheduler writes the settings of a scheduler and starts it.
+func (c *cluster) newScheduler(index, count int, list, classes string) (s *clusterScheduler, err error) {
+	s = &clusterScheduler{name: fmt.Sprintf("s%d", index+1)}
+	s.file = filepath.Join(c.dir, s.name+".yaml")
+	if s.addr, err = freeAddr(); err != nil {
+		return nil, err
 	}
+	if s.path, err = startPath(s.addr, c.record); err != nil {
+		return nil, err
+	}
+	state := filepath.Join(c.dir, "state-"+s.name)
+	text := fmt.Sprintf(schedulerSettings, s.name, index, count, s.addr, state, list, classes)
+	if err := os.WriteFile(s.file, []byte(text), 0o600); err != nil {
+		return nil, err
+	}
+	return s, c.startScheduler(s)
+}
+
+func (c *cluster) writeControllerSettings(list string) (err error) {
 	if c.api, err = freeAddr(); err != nil {
 		return err
 	}
-	c.schedulerFile, c.controlFile = filepath.Join(c.dir, "scheduler.yaml"), filepath.Join(c.dir, "controller.yaml")
-	scheduler := fmt.Sprintf(schedulerSettings, c.schedulerAddr, filepath.Join(c.dir, "state-s"), list, classes)
-	controller := fmt.Sprintf(controllerSettings, c.api, c.schedulerAddr, list, filepath.Join(c.dir, "state-k"))
-	if err := os.WriteFile(c.schedulerFile, []byte(scheduler), 0o600); err != nil {
-		return err
+	var doors []string
+	for _, s := range c.schedulers {
+		doors = append(doors, `"`+s.path.addr()+`"`)
 	}
-	return os.WriteFile(c.controlFile, []byte(controller), 0o600)
+	c.controlFile = filepath.Join(c.dir, "controller.yaml")
+	text := fmt.Sprintf(controllerSettings, c.api, strings.Join(doors, ", "), list, filepath.Join(c.dir, "state-keeper"))
+	return os.WriteFile(c.controlFile, []byte(text), 0o600)
 }
 
-func (c *cluster) startScheduler() (err error) {
-	c.scheduler, err = startProgram(c.dir, "scheduler.log", nil, "scheduler", "-c", c.schedulerFile)
+func (c *cluster) startScheduler(s *clusterScheduler) (err error) {
+	s.process, err = startProgram(c.dir, s.name+".log", nil, "scheduler", "-c", s.file)
 	if err != nil {
 		return err
 	}
-	if !waitFor(10*time.Second, func() bool { return reachable(c.schedulerAddr) }) {
-		return fmt.Errorf("scheduler does not listen")
+	if !waitFor(10*time.Second, func() bool { return reachable(s.addr) }) {
+		return fmt.Errorf("scheduler %s does not listen", s.name)
+	}
+	return nil
+}
+
+// scheduler returns the scheduler with a name.
+func (c *cluster) scheduler(name string) *clusterScheduler {
+	for _, s := range c.schedulers {
+		if s.name == name {
+			return s
+		}
 	}
 	return nil
 }
@@ -376,7 +412,9 @@
 		return
 	}
 	c.controller.end(syscall.SIGTERM)
-	c.scheduler.end(syscall.SIGTERM)
+	for _, s := range c.schedulers {
+		s.process.end(syscall.SIGTERM)
+	}
 }
 
 func reachable(addr string) bool {
@@ -412,9 +450,9 @@
 	return response.StatusCode, answer
 }
 
-const schedulerSettings = `name: s1
-scheduler_index: 0
-scheduler_count: 1
+const schedulerSettings = `name: %s
+scheduler_index: %d
+scheduler_count: %d
 seed: 17
 listen: %s
 state_dir: %s
@@ -443,8 +481,8 @@
 
 const controllerSettings = `name: keeper
 api: %s
-scheduler_config: scheduler.yaml
-schedulers: ["%s"]
+scheduler_config: s1.yaml
+schedulers: [%s]
 machine_list: "%s"
 seed: 5
 state_dir: %s
--- a/review/_lab/jobs.go
+++ b/review/_lab/jobs.go
@@ -20,7 +20,7 @@
 // runOnce kills the controller while a container of a job that runs once is running, and starts it again after the
 // container has finished. What has finished must not be started again.
 func runOnce(r *run) verdict {
-	c, err := newCluster(r, 2, sampleClasses)
+	c, err := newCluster(r, 2, 1, sampleClasses)
 	defer c.stop()
 	if err != nil {
 		return r.fail("cluster", err)
@@ -65,21 +65,22 @@
 	return n
 }
 
-// containerState returns the state of a container as the API shows it.
-func (c *cluster) containerState(id string) string {
+// container returns a container as the API shows it.
+func (c *cluster) container(id string) (shown struct{ State, Placer string }) {
 	status, body := c.call(http.MethodGet, "/v1/containers/"+id, "", "")
-	var container struct{ State string }
-	if status != http.StatusOK || json.Unmarshal([]byte(body), &container) != nil {
-		return ""
+	if status == http.StatusOK {
+		_ = json.Unmarshal([]byte(body), &shown) // no state is shown of what cannot be read
 	}
-	return container.State
+	return shown
 }
 
+func (c *cluster) containerState(id string) string { return c.container(id).State }
+
 // runRetry sends a creation again with its idempotency key: the first answer was lost on its way to the client, and the
 // job has finished and was deleted since. With the disruption the controller is stopped and started again in between.
 // The second request must get the answer to the first, and must start nothing.
 func runRetry(r *run) verdict {
-	c, err := newCluster(r, 2, sampleClasses)
+	c, err := newCluster(r, 2, 1, sampleClasses)
 	defer c.stop()
 	if err != nil {
 		return r.fail("cluster", err)
@@ -118,7 +119,7 @@
 // runWindow loses one answer in four of three of the four machines, for 18 s. A key must not be sent again after the
 // time for which the machines drop its repeats, so none may run twice.
 func runWindow(r *run) verdict {
-	c, err := newCluster(r, 4, fleetClasses)
+	c, err := newCluster(r, 4, 1, fleetClasses)
 	defer c.stop()
 	if err != nil {
 		return r.fail("cluster", err)
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -42,6 +42,8 @@
 	"once":    runOnce,
 	"retry":   runRetry,
 	"window":  runWindow,
+	"reboot":  runReboot,
+	"rollout": runRollout,
 }
 
 // limit is the longest time that a case may take.
