--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -29,6 +29,8 @@
 	*record
 	dir     string // temporary folder
 	trouble bool
+
+	platformEnv []string // variables of the environment that the platform gives its placer
 }
 
 // fail records why a case could not run.
@@ -43,6 +45,7 @@
 	"retry":   runRetry,
 	"window":  runWindow,
 	"reboot":  runReboot,
+	"claims":  runClaims,
 	"rollout": runRollout,
 }
 
--- a/review/_lab/platform.go
+++ b/review/_lab/platform.go
@@ -103,6 +103,8 @@
 	listener net.Listener
 
 	mu         sync.Mutex
+	conns      map[*lineConn]bool
+	pending    []string          // calls whose end is sent on the next connection too
 	running    map[string]string // keys of the standing tasks by call
 	released   map[string]bool   // calls whose release was read
 	resetOnce  bool              // reset the connection on which the next bytes arrive, without reading them
@@ -116,7 +118,7 @@
 	}
 	m := &platformMachine{
 		id: id, record: r, listener: listener,
-		running: map[string]string{}, released: map[string]bool{},
+		conns: map[*lineConn]bool{}, running: map[string]string{}, released: map[string]bool{},
 	}
 	go m.serve()
 	return m, nil
@@ -138,6 +140,7 @@
 func (m *platformMachine) serveConn(conn net.Conn, number int) {
 	c := newLineConn(conn)
 	defer func() { _ = c.Close() }()
+	defer m.open(c)()
 	for {
 		if _, err := c.reader.Peek(1); err != nil {
 			m.record.printf("machine %s: connection %d has ended", m.id, number)
@@ -159,6 +162,35 @@
 	}
 }
 
+// open registers a connection, and sends the last ends on it, as the protocol says. It returns the call that forgets it.
+func (m *platformMachine) open(c *lineConn) (forget func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.conns[c] = true
+	for _, call := range m.pending {
+		_ = c.send(&message{Op: "end", Call: call, Why: cause(16)})
+	}
+	m.pending = nil
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.conns, c)
+	}
+}
+
+// finish ends a task that has come to its end: on any open connection, and on the next one that is opened.
+func (m *platformMachine) finish(call string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.running, call)
+	m.pending = append(m.pending, call)
+	for c := range m.conns {
+		m.record.printf("machine %s: sends end %s why 16", m.id, call)
+		_ = c.send(&message{Op: "end", Call: call, Why: cause(16)})
+		return
+	}
+}
+
 // takeReset reports whether the connection has to be reset, once for each call of resetNext.
 func (m *platformMachine) takeReset() bool {
 	m.mu.Lock()
--- a/review/_lab/release.go
+++ b/review/_lab/release.go
@@ -103,10 +103,16 @@
 	if err != nil {
 		return nil, "", err
 	}
-	env := []string{"ROUTER_NAME=n1", "ROUTER_LISTEN=" + addr, "ROUTER_CONFIG=" + file}
-	placer, err := startProgram(r.dir, "placer.log", env, "platform")
+	r.platformEnv = []string{"ROUTER_NAME=n1", "ROUTER_LISTEN=" + addr, "ROUTER_CONFIG=" + file}
+	placer, err := r.restartPlatform(addr)
+	return placer, addr, err
+}
+
+// restartPlatform starts the placer and waits until it passes a test.
+func (r *run) restartPlatform(addr string) (*process, error) {
+	placer, err := startProgram(r.dir, "placer.log", r.platformEnv, "platform")
 	if err != nil {
-		return nil, "", err
+		return nil, err
 	}
 	waitFor(10*time.Second, func() bool {
 		c, err := connectClient(addr, r.record)
@@ -118,5 +124,5 @@
 		a := c.waitAnswer("00000000000000aa", time.Second)
 		return a != nil && a.why() == 1
 	})
-	return placer, addr, nil
+	return placer, nil
 }
