--- a/internal/platform/environment.go
+++ b/internal/platform/environment.go
@@ -72,10 +72,11 @@
 	return env.encodeBuffer, err
 }
 
-// trace logs a message. It is called only if tracing is on.
-func (env *environment) trace(direction, peer string, msg *jsonlines.Message) {
-	env.log.Info("message", "time", env.loop.Now(), "direction", direction, "peer", peer, "op", msg.Op,
+// trace logs a message with further attributes. It is called only if tracing is on.
+func (env *environment) trace(direction, peer string, msg *jsonlines.Message, attributes ...any) {
+	log := env.log.With("time", env.loop.Now(), "direction", direction, "peer", peer, "op", msg.Op,
 		"request_id", msg.RequestID, "fields", msg.Fields, "cause", msg.CauseOrNone())
+	log.Info("message", attributes...)
 }
 
 // logIllegalTransition logs an event that is illegal in the state of a state machine. The attribute key=id identifies
--- a/internal/platform/machineconnmessages.go
+++ b/internal/platform/machineconnmessages.go
@@ -12,9 +12,7 @@
 	if err != nil {
 		return err
 	}
-	if mc.env.tracing {
-		mc.env.trace("from machine", string(mc.machine.id), msg)
-	}
+	mc.trace("from machine", msg)
 	switch event := decodeMachineMessage(msg).(type) {
 	case offerAccepted:
 		return mc.handleAccept(event)
--- a/internal/platform/machineconns.go
+++ b/internal/platform/machineconns.go
@@ -105,13 +105,26 @@
 		mc.env.log.Error("message not sent", "machine", mc.machine.id, "error", err)
 		return false
 	}
-	if mc.env.tracing {
-		mc.env.trace("to machine", string(mc.machine.id), msg)
-	}
+	mc.trace("to machine", msg)
 	mc.lastUsedAt = mc.env.loop.Now()
 	return mc.conn.Write(line) == nil
 }
 
+// trace logs a message on the connection if tracing is on.
+func (mc *machineConn) trace(direction string, msg *jsonlines.Message) {
+	if mc.env.tracing {
+		mc.env.trace(direction, string(mc.machine.id), msg, "connection", uint64(mc.id))
+	}
+}
+
+// traceEnd logs the end of the connection if tracing is on. lastState is the state in which it ended.
+func (mc *machineConn) traceEnd(lastState machineConnState, err error) {
+	if mc.env.tracing {
+		mc.env.log.Info("machine connection ended", "time", mc.env.loop.Now(), "machine", mc.machine.id,
+			"connection", uint64(mc.id), "state", lastState.String(), "waiting", len(mc.onEstablished), "error", err)
+	}
+}
+
 // recordActivity handles a sign that the machine is alive.
 func (mc *machineConn) recordActivity() {
 	mc.machine.recordActivity()
@@ -146,6 +159,7 @@
 	if mc.transition(machineConnEnded) != nil {
 		return
 	}
+	mc.traceEnd(lastState, err)
 	mc.onEstablished = nil
 	mc.machine.conns.remove(mc)
 	unsentOutcome := scheduler.OutcomeConnectFailed
