Platform: send a termination again until its machine reports the end

Callers saw: a client ends an at-most-once container, the connection to its machine is reset under the order, the client requests the container again, and two copies run; repeats of the order change nothing.

Cause: attempt.sendTermination counted the order as delivered once machine.send had a connection, established or not. Nothing followed what became of that connection, and attempt.terminate dropped repeats in the state 'terminating'.

Change: a termination is pending in connmanager.Cancels until the machine reports the end or the container is lost. It is sent again at once when its connection fails, then with backoff; on another connection when no report comes in time; and when the client repeats it. The sending moves to internal/platform/cancels.go.

Why it works: the only proof that the order was read is the machine's report, and that alone now ends the repeats. A repeat names a request that the machine no longer runs, and is ignored there.

--- a/internal/platform/attempts.go
+++ b/internal/platform/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"glenport/internal/eventloop"
+	"glenport/internal/platform/connmanager"
 	"glenport/scheduler"
 )
 
@@ -152,27 +153,25 @@
 	a.finish(scheduler.AttemptEnded{Outcome: outcome, Final: a.container.isAnswered()})
 }
 
-// terminate forwards a client's order to end the running container to its machine, once. The machine reports the end
-// later.
+// terminate forwards a client's order to end the running container to its machine. The termination is pending until the
+// container has ended: it is sent again until the machine reports the end.
 func (a *attempt) terminate(cause terminationCause) {
 	repeated := a.state == attemptTerminating
-	if a.transition(terminationRequested) != nil || repeated {
+	if a.transition(terminationRequested) != nil {
 		return
 	}
-	a.sendTermination(cause)
-}
-
-// sendTermination orders the machine to end the running container. Without a connection the order is retried every
-// maintenanceInterval until the container has ended.
-func (a *attempt) sendTermination(cause terminationCause) {
-	if !a.machine.hasAddr() || a.state == attemptFinished {
+	now := connmanager.Time(a.env.loop.Now())
+	if repeated {
+		a.env.cancels.Repeat(now, a.termination())
 		return
 	}
-	if !a.machine.send(machineTerminationMessage(a.id(), cause)) {
-		a.env.loop.After(maintenanceInterval, func() { a.sendTermination(cause) })
-	}
+	a.env.cancels.AddTermination(now, a.termination(), int(cause))
+	a.machine.sendCancel(connmanager.DueCancel{Cancel: a.termination()})
 }
 
+// termination returns the order to end the running container.
+func (a *attempt) termination() connmanager.Cancel { return a.machine.cancelFor(a.id()) }
+
 // finishUnaccepted ends a container that its machine evicted, preempted or drained before the accept was read. A
 // machine does so only with a running container, so the accept is late or lost. The request fails, because a retry
 // would continue with a container that machine and platform count as ended.
@@ -194,10 +193,13 @@
 
 // finish ends the attempt with its only outcome. It fills in the identifiers and the elapsed time.
 func (a *attempt) finish(ended scheduler.AttemptEnded) {
-	wasRunning := a.isRunning()
+	wasRunning, wasTerminating := a.isRunning(), a.state == attemptTerminating
 	if a.transition(outcomeKnown) != nil {
 		return
 	}
+	if wasTerminating {
+		a.env.cancels.Discard(a.termination())
+	}
 	a.env.loop.Cancel(a.timer)
 	if wasRunning {
 		a.releaseRunning()
--- /dev/null
+++ b/internal/platform/cancels.go
@@ -0,0 +1,93 @@
+package platform
+
+import (
+	"errors"
+
+	"glenport/internal/eventloop"
+	"glenport/internal/platform/connmanager"
+	"glenport/internal/platform/jsonlines"
+	"glenport/scheduler"
+)
+
+// This file sends the orders that end containers at machines: cancels of copies, and terminations of running
+// containers. connmanager.Cancels decides when an order is sent again.
+
+// cancelFor returns the order to end a container that is or may be running at the machine.
+func (m *machine) cancelFor(id scheduler.ContainerID) connmanager.Cancel {
+	return connmanager.Cancel{Machine: string(m.id), RequestID: string(id)}
+}
+
+// sendDueCancels sends the cancels that are due, each on a connection to its machine. A cancel without a connection is
+// scheduled again.
+func (r *machineRegistry) sendDueCancels() {
+	for _, due := range r.env.cancels.Due(connmanager.Time(r.env.loop.Now())) {
+		if m := r.machines[scheduler.MachineID(due.Machine)]; m != nil {
+			m.sendCancel(due)
+		} else {
+			r.env.cancels.RecordTry(connmanager.Time(r.env.loop.Now()), due.Cancel, 0)
+		}
+	}
+}
+
+// sendCancel sends a cancel on a connection to the machine. Without a connection it is scheduled again.
+func (m *machine) sendCancel(due connmanager.DueCancel) {
+	var mc *machineConn
+	if m.hasAddr() && !m.isGone() {
+		mc = m.conns.acquireOther(due.Avoid)
+	}
+	if mc == nil {
+		m.env.cancels.RecordTry(connmanager.Time(m.env.loop.Now()), due.Cancel, 0)
+		return
+	}
+	mc.sendCancel(due.Cancel)
+}
+
+// sendCancel sends a cancel once the connection is established, unless it is not pending any more.
+func (mc *machineConn) sendCancel(cancel connmanager.Cancel) {
+	mc.env.cancels.RecordTry(connmanager.Time(mc.env.loop.Now()), cancel, mc.id)
+	mc.whenEstablished(func() {
+		if msg := mc.pendingCancelMessage(cancel); msg != nil && !mc.send(msg) {
+			mc.cancelsFailed()
+		}
+	})
+}
+
+// pendingCancelMessage returns the message of a cancel, or nil if it is not pending. The cancel of a copy is discarded
+// if the container has an attempt or a claim at the machine by now.
+func (mc *machineConn) pendingCancelMessage(cancel connmanager.Cancel) *jsonlines.Message {
+	id := scheduler.ContainerID(cancel.RequestID)
+	if cause, ok := mc.env.cancels.Termination(cancel); ok {
+		return machineTerminationMessage(id, terminationCause(cause))
+	}
+	if mc.machine.hasAttemptOrClaim(id) {
+		mc.env.cancels.Discard(cancel)
+	}
+	if !mc.env.cancels.IsPending(cancel) {
+		return nil
+	}
+	return cancelMessage(id)
+}
+
+// hasAttemptOrClaim reports whether a container is offered to the machine again, or a client has claimed that it is
+// running there. A claim that was not adopted counts too.
+func (m *machine) hasAttemptOrClaim(id scheduler.ContainerID) bool {
+	return m.attempt(id) != nil || m.env.claims.WasRejected(string(id), string(m.id))
+}
+
+// finishCancels handles the cancels that were sent on the connection, which has ended. If this process closed it and it
+// was not reset, the cancels of copies are certain to have been read. Otherwise the cancels are sent again.
+func (mc *machineConn) finishCancels(lastState machineConnState, err error) {
+	if lastState == machineClosing && !errors.Is(err, eventloop.ErrReset) {
+		mc.env.cancels.ConnClosedLocally(mc.id)
+	} else {
+		mc.cancelsFailed()
+	}
+}
+
+// cancelsFailed schedules the cancels again that the connection could not carry. A termination is sent again at once:
+// its client may soon request the container again.
+func (mc *machineConn) cancelsFailed() {
+	if mc.env.cancels.ConnFailed(mc.id) {
+		mc.env.loop.After(0, mc.machine.registry.sendDueCancels)
+	}
+}
--- a/internal/platform/connmanager/doc.go
+++ b/internal/platform/connmanager/doc.go
@@ -4,7 +4,7 @@
 //   - admission.go: which client connections stay open;
 //   - notifications.go: which client is notified that a running container has ended;
 //   - pool.go: how many connections each machine may have, and how long an idle one stays open;
-//   - cancels.go: when the cancel of a copy of a container is resent;
+//   - cancels.go: when an order to end a container is resent;
 //   - shutdown.go: how long the scheduler drains before it exits.
 //
 // The package performs no I/O and reads no clock: the process passes in events with the current time and carries out
--- a/internal/platform/environment.go
+++ b/internal/platform/environment.go
@@ -21,7 +21,7 @@
 	loop         *eventloop.Loop
 	encodeBuffer []byte              // reused by encode
 	claims       *adoption.Claims    // adopted claims that no machine has confirmed
-	cancels      connmanager.Cancels // cancels of copies that their machines may not have read
+	cancels      connmanager.Cancels // orders to end containers that their machines may not have read
 	adoptions    adoptions.Tracker
 
 	schedulerQueue       eventQueue[scheduler.Event, scheduler.Action]
--- /dev/null
+++ b/internal/platform/terminations_test.go
@@ -0,0 +1,80 @@
+package platform
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+
+	"glenport/internal/platform/jsonlines"
+	"glenport/internal/testutil"
+)
+
+// missOrder is what a machine does in place of reading the first termination that arrives.
+type missOrder func(m *peer, testEnds <-chan bool)
+
+// resetUnread resets the connection.
+func resetUnread(m *peer, _ <-chan bool) {
+	if conn, ok := m.c.(*net.TCPConn); ok {
+		testutil.ExpectNoError(m.t, conn.SetLinger(0))
+	}
+	m.close()
+}
+
+// forgetUnread leaves the connection open and reads nothing more.
+func forgetUnread(_ *peer, testEnds <-chan bool) { <-testEnds }
+
+// machineThatMissesOneOrder accepts each offer, does not read the first message that follows on the connection of an
+// offer, and ends a container when it reads its termination on a later connection. It sends these terminations to
+// ended.
+func machineThatMissesOneOrder(t *testing.T, miss missOrder) (addr string, ended chan *jsonlines.Message) {
+	t.Helper()
+	ended = make(chan *jsonlines.Message, 10)
+	var hasMissed atomic.Bool
+	testEnds := make(chan bool)
+	addr = serveTCP(t, func(m *peer) {
+		for msg := m.receive(); msg != nil; msg = m.receive() {
+			if msg.Op == jsonlines.OpOffer {
+				m.send(acceptLine(msg.RequestID))
+			} else {
+				ended <- msg
+				m.send(endLine(msg.RequestID, jsonlines.CauseCancelled))
+			}
+			if hasMissed.Load() {
+				continue
+			}
+			if _, err := m.r.Peek(1); err == nil && hasMissed.CompareAndSwap(false, true) {
+				miss(m, testEnds)
+				return
+			}
+		}
+	})
+	t.Cleanup(func() { close(testEnds) })
+	return addr, ended
+}
+
+// A termination that its machine has not read is sent again, on another connection: guards against a container that
+// runs on beside its successor, because its termination was lost with a connection.
+func TestUnreadTerminationIsSentAgain(t *testing.T) {
+	for name, miss := range map[string]missOrder{
+		"connection reset":     resetUnread,
+		"connection forgotten": forgetUnread,
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, ended := machineThatMissesOneOrder(t, miss)
+			r := startWithMachineA(t, addr, attemptOnA(0))
+			client := r.place()
+			client.send(endLine(requestID, jsonlines.CauseNormal))
+			msg := testutil.Receive(t, ended)
+			testutil.Expect(t, isMessage(msg, jsonlines.OpEnd, requestID, jsonlines.CauseNormal), "received %+v", msg)
+			testutil.WaitUntil(t, "the container has ended and nothing more is to be sent", func() bool {
+				running, pending := 0, true
+				r.runOnLoop(func() {
+					m := r.server.machines.lookup("a")
+					running, pending = m.runningLoad.Containers, r.server.env.cancels.IsPending(m.cancelFor(requestID))
+				})
+				return running == 0 && !pending
+			})
+			testutil.Equal(t, len(ended), 0, "further terminations")
+		})
+	}
+}
