Platform: a termination outlives the loss of its container, and ends in bounded time

Callers would see: a client ends a container; before the machine has read the order, the machine refuses one connection, is silent for 6.5 s, or another claim displaces the container's. The container runs on, beside the copy that the client requests next.

The record goes when the container counts as lost, which does not prove that it has ended. At the news of a restart the orders for containers accepted since that start were dropped too.

Change: Cancels.Release keeps the order of a lost container, bounded like the cancels of copies; MachineRestarted drops only orders from before the start; a retry takes a connection dialed after the last try; after eight sends without a report the container counts as ended (log line 'termination not confirmed'), where its record stayed for good before.

Why it works: an order is now dropped only by the report, by news that the container cannot be running, or at a stated bound.

Measured: TestTerminationOutlivesTheLossOfTheContainer fails in its three cases when the order is discarded with the record (nothing received in 20 s), and passes now; with -race.

--- a/internal/platform/attempts.go
+++ b/internal/platform/attempts.go
@@ -198,7 +198,7 @@
 		return
 	}
 	if wasTerminating {
-		a.env.cancels.Discard(a.termination())
+		a.env.cancels.Release(a.termination())
 	}
 	a.env.loop.Cancel(a.timer)
 	if wasRunning {
--- a/internal/platform/cancels.go
+++ b/internal/platform/cancels.go
@@ -17,6 +17,20 @@
 	return connmanager.Cancel{Machine: string(m.id), RequestID: string(id)}
 }
 
+// finishUnconfirmed ends the containers whose machine has got the termination often enough and reports no end.
+func (r *machineRegistry) finishUnconfirmed() {
+	for _, cancel := range r.env.cancels.Unconfirmed(connmanager.Time(r.env.loop.Now())) {
+		r.env.log.Warn("termination not confirmed", "machine", cancel.Machine, "request_id", cancel.RequestID)
+		m := r.machines[scheduler.MachineID(cancel.Machine)]
+		if m == nil {
+			continue
+		}
+		if a := m.attempt(scheduler.ContainerID(cancel.RequestID)); a != nil {
+			a.finishRunning(causeCancelled, scheduler.AttemptEnded{Outcome: causeCancelled.outcomeAfterAccept()})
+		}
+	}
+}
+
 // sendDueCancels sends the cancels that are due, each on a connection to its machine. A cancel without a connection is
 // scheduled again.
 func (r *machineRegistry) sendDueCancels() {
@@ -33,7 +47,7 @@
 func (m *machine) sendCancel(due connmanager.DueCancel) {
 	var mc *machineConn
 	if m.hasAddr() && !m.isGone() {
-		mc = m.conns.acquireOther(due.Avoid)
+		mc = m.conns.acquireDialedAfter(eventloop.Tick(due.TriedAt))
 	}
 	if mc == nil {
 		m.env.cancels.RecordTry(connmanager.Time(m.env.loop.Now()), due.Cancel, 0)
@@ -46,32 +60,41 @@
 func (mc *machineConn) sendCancel(cancel connmanager.Cancel) {
 	mc.env.cancels.RecordTry(connmanager.Time(mc.env.loop.Now()), cancel, mc.id)
 	mc.whenEstablished(func() {
-		if msg := mc.pendingCancelMessage(cancel); msg != nil && !mc.send(msg) {
+		msg := mc.pendingCancelMessage(cancel)
+		if msg == nil {
+			return
+		}
+		if !mc.send(msg) {
 			mc.cancelsFailed()
+			return
 		}
+		mc.env.cancels.RecordSent(cancel)
 	})
 }
 
-// pendingCancelMessage returns the message of a cancel, or nil if it is not pending. The cancel of a copy is discarded
-// if the container has an attempt or a claim at the machine by now.
+// pendingCancelMessage returns the message of a cancel, or nil if it is not pending. A cancel is discarded if the
+// container is wanted at the machine by now.
 func (mc *machineConn) pendingCancelMessage(cancel connmanager.Cancel) *jsonlines.Message {
 	id := scheduler.ContainerID(cancel.RequestID)
+	if mc.machine.wants(id) {
+		mc.env.cancels.Discard(cancel)
+	}
 	if cause, ok := mc.env.cancels.Termination(cancel); ok {
 		return machineTerminationMessage(id, terminationCause(cause))
 	}
-	if mc.machine.hasAttemptOrClaim(id) {
-		mc.env.cancels.Discard(cancel)
-	}
 	if !mc.env.cancels.IsPending(cancel) {
 		return nil
 	}
 	return cancelMessage(id)
 }
 
-// hasAttemptOrClaim reports whether a container is offered to the machine again, or a client has claimed that it is
-// running there. A claim that was not adopted counts too.
-func (m *machine) hasAttemptOrClaim(id scheduler.ContainerID) bool {
-	return m.attempt(id) != nil || m.env.claims.WasRejected(string(id), string(m.id))
+// wants reports whether a container is offered to the machine again, or a client has claimed that it is running there
+// and has not ordered its end. A claim that was not adopted counts too.
+func (m *machine) wants(id scheduler.ContainerID) bool {
+	if a := m.attempt(id); a != nil {
+		return a.state != attemptTerminating
+	}
+	return m.env.claims.WasRejected(string(id), string(m.id))
 }
 
 // finishCancels handles the cancels that were sent on the connection, which has ended. If this process closed it and it
--- a/internal/platform/connmanager/cancels.go
+++ b/internal/platform/connmanager/cancels.go
@@ -6,19 +6,21 @@
 // within about ten seconds. If the cancel was sent, it becomes certain or its connection fails within
 // cancelCertainAfter.
 const (
-	maxCancels          = 1024       // of copies
-	maxCancelTries      = 8          // of the cancel of a copy
+	maxCancels          = 1024       // of copies, and of containers that count as lost
+	maxCancelTries      = 8          // of such a cancel
 	firstCancelInterval = Second / 4 // between the first two tries; doubles with each further try
 	lastCancelInterval  = 2 * Second // upper limit of the doubling
 	// the silence after which the failure detector declares a machine lost; a shorter silence may be a network
 	// partition
 	cancelCertainAfter = 6*Second + Second/2
 
-	// time within which a machine reports the end of a container that it was ordered to end; doubles with each try
+	// time within which a machine reports the end of a container that it was ordered to end; doubles with each send
 	firstReportTimeout = Second
 	lastReportTimeout  = 8 * Second // upper limit of the doubling
 	// a client that repeats its order is not passed on to the machine more often
 	minTerminationInterval = Second / 4
+	// a machine that has got a termination so often, and does not report the end, does not have the container
+	maxUnreportedSends = 8
 )
 
 // Cancel identifies an order to a machine to end a container.
@@ -30,9 +32,9 @@
 // DueCancel is a cancel that has to be tried now.
 type DueCancel struct {
 	Cancel
-	// The connection on which it was sent last without effect, if that is still open; 0: none. Another connection is to
-	// carry the next try.
-	Avoid MachineConnID
+	// The time of the latest try of a termination; 0: it was not tried. A connection that was opened later is to carry
+	// the next try, because the machine may have forgotten all earlier ones.
+	TriedAt Time
 }
 
 // Cancels holds the orders to end a container that their machine may not have read yet. There are two kinds: the cancel
@@ -51,7 +53,8 @@
 //
 // The container of a termination is known to run, so its machine reports the end. Nothing else confirms a termination:
 // it is resent when its connection fails, and when the report does not arrive in time, because the machine may have
-// forgotten the connection. The owner of the container discards the termination when the container is lost.
+// forgotten the connection. After maxUnreportedSends it is given up. If the container counts as lost meanwhile, it may
+// still be running: the process calls Release, and the termination has as many tries left as the cancel of a copy.
 //
 // A machine that has already read the order ignores the repeat, because it no longer has the container. A repeat cannot
 // end another container, because it names the same request. If the container is wanted at the machine again, the
@@ -59,7 +62,7 @@
 type Cancels struct {
 	pending map[Cancel]*pendingCancel
 	queue   []*pendingCancel // oldest first; removed ones stay until the next call of Due
-	copies  int              // number of pending cancels of copies, at most maxCancels
+	bounded int              // number of pending cancels without an owner, at most maxCancels
 }
 
 // pendingCancel is a cancel that is not yet certain to have been read.
@@ -67,7 +70,10 @@
 	Cancel
 	termination bool // the container is known to run
 	cause       int  // of a termination, as its message states it
+	owned       bool // a running container of the process owns the termination
+	sends       int  // how often a termination was sent
 	removed     bool
+	addedAt     Time
 	tries       int
 	triedAt     Time
 	nextTryAt   Time
@@ -77,10 +83,7 @@
 // Add adds the cancel of a copy, which is due immediately. If there are maxCancels already, the oldest is dropped.
 func (c *Cancels) Add(now Time, cancel Cancel) {
 	c.Discard(cancel)
-	if c.copies >= maxCancels {
-		c.dropOldestCopy()
-	}
-	c.insert(&pendingCancel{Cancel: cancel, nextTryAt: now})
+	c.insert(&pendingCancel{Cancel: cancel, addedAt: now, nextTryAt: now})
 }
 
 // AddTermination adds the termination of a running container with the cause that its message states. It is due
@@ -88,7 +91,9 @@
 // containers.
 func (c *Cancels) AddTermination(now Time, cancel Cancel, cause int) {
 	c.Discard(cancel)
-	c.insert(&pendingCancel{Cancel: cancel, nextTryAt: now, termination: true, cause: cause})
+	c.insert(&pendingCancel{
+		Cancel: cancel, addedAt: now, nextTryAt: now, termination: true, cause: cause, owned: true,
+	})
 }
 
 func (c *Cancels) insert(p *pendingCancel) {
@@ -96,19 +101,29 @@
 		c.pending = map[Cancel]*pendingCancel{}
 	}
 	c.pending[p.Cancel] = p
+	if !p.owned {
+		c.countBounded()
+	}
 	c.queue = append(c.queue, p)
-	if !p.termination {
-		c.copies++
+}
+
+// countBounded counts one more cancel without an owner. If there are maxCancels already, the oldest is dropped.
+func (c *Cancels) countBounded() {
+	if c.bounded >= maxCancels {
+		i := slices.IndexFunc(c.queue, func(p *pendingCancel) bool { return !p.removed && !p.owned })
+		c.remove(c.queue[i])
 	}
+	c.bounded++
 }
 
-func (c *Cancels) dropOldestCopy() {
-	for _, p := range c.queue {
-		if !p.removed && !p.termination {
-			c.remove(p)
-			return
-		}
+// Release records that the container of a pending termination counts as lost, although it may still be running.
+func (c *Cancels) Release(cancel Cancel) {
+	p := c.pending[cancel]
+	if p == nil || !p.owned {
+		return
 	}
+	c.countBounded()
+	p.owned, p.tries = false, 0
 }
 
 // IsPending reports whether a cancel was added and has not been removed since.
@@ -131,8 +146,21 @@
 	}
 }
 
+// Unconfirmed removes the terminations of running containers that were sent maxUnreportedSends times without a report,
+// and returns them. Their machine does not have the container.
+func (c *Cancels) Unconfirmed(now Time) []Cancel {
+	var unconfirmed []Cancel
+	for _, p := range c.queue {
+		if !p.removed && p.owned && p.isUnreported(now) {
+			unconfirmed = append(unconfirmed, p.Cancel)
+			c.remove(p)
+		}
+	}
+	return unconfirmed
+}
+
 // Due returns the cancels that have to be tried now, the oldest first. It removes those of copies that are certain to
-// have been read and those that have no tries left.
+// have been read and those without an owner that have no tries left.
 func (c *Cancels) Due(now Time) []DueCancel {
 	var due []DueCancel
 	for _, p := range c.queue {
@@ -141,7 +169,7 @@
 		case p.isCertain(now) || p.isGivenUp(now):
 			c.remove(p)
 		case now >= p.nextTryAt && (p.conn == 0 || p.termination):
-			due = append(due, DueCancel{Cancel: p.Cancel, Avoid: p.conn})
+			due = append(due, p.due())
 		}
 	}
 	c.queue = slices.DeleteFunc(c.queue, func(p *pendingCancel) bool { return p.removed })
@@ -157,13 +185,20 @@
 	}
 	interval := backoff(firstCancelInterval, lastCancelInterval, p.tries)
 	if p.termination && conn != 0 {
-		interval = backoff(firstReportTimeout, lastReportTimeout, p.tries)
+		interval = backoff(firstReportTimeout, lastReportTimeout, p.sends)
 	}
 	p.nextTryAt = now + interval
 	p.tries++
 	p.triedAt, p.conn = now, conn
 }
 
+// RecordSent records that the message of a pending cancel was written.
+func (c *Cancels) RecordSent(cancel Cancel) {
+	if p := c.pending[cancel]; p != nil {
+		p.sends++
+	}
+}
+
 // ConnFailed schedules another try of each cancel that the failed connection was to carry. It reports whether there was
 // a termination among them: its first repeat is due at once.
 func (c *Cancels) ConnFailed(conn MachineConnID) (terminations bool) {
@@ -174,7 +209,7 @@
 		p.conn = 0
 		if p.termination {
 			terminations = true
-			p.nextTryAt = min(p.nextTryAt, p.triedAt+p.terminationRetryInterval())
+			p.nextTryAt = p.triedAt + p.terminationRetryInterval()
 		}
 	}
 	return terminations
@@ -202,10 +237,22 @@
 	}
 }
 
-// MachineGone removes the cancels for a machine that has left or restarted: its containers have ended.
+// MachineGone removes the cancels for a machine that has left: its containers have ended. The terminations of
+// containers that the process still counts as running stay.
 func (c *Cancels) MachineGone(machine string) {
+	c.removeFor(machine, func(*pendingCancel) bool { return true })
+}
+
+// MachineRestarted removes the cancels for a machine that were added before it restarted: the containers of that time
+// have ended. Containers that the machine has accepted since may be running, although the process learns of the restart
+// only now.
+func (c *Cancels) MachineRestarted(machine string, restartedAt Time) {
+	c.removeFor(machine, func(p *pendingCancel) bool { return p.addedAt <= restartedAt })
+}
+
+func (c *Cancels) removeFor(machine string, matches func(*pendingCancel) bool) {
 	for _, p := range c.queue {
-		if p.Machine == machine {
+		if p.Machine == machine && !p.owned && matches(p) {
 			c.remove(p)
 		}
 	}
@@ -217,9 +264,16 @@
 	}
 	p.removed = true
 	delete(c.pending, p.Cancel)
+	if !p.owned {
+		c.bounded--
+	}
+}
+
+func (p *pendingCancel) due() DueCancel {
 	if !p.termination {
-		c.copies--
+		return DueCancel{Cancel: p.Cancel}
 	}
+	return DueCancel{Cancel: p.Cancel, TriedAt: p.triedAt}
 }
 
 func (p *pendingCancel) isCertain(now Time) bool {
@@ -227,7 +281,14 @@
 }
 
 func (p *pendingCancel) isGivenUp(now Time) bool {
-	return !p.termination && p.conn == 0 && p.tries >= maxCancelTries && now >= p.nextTryAt
+	if p.owned || now < p.nextTryAt {
+		return false
+	}
+	return p.conn == 0 && p.tries >= maxCancelTries || p.isUnreported(now)
+}
+
+func (p *pendingCancel) isUnreported(now Time) bool {
+	return p.termination && p.sends >= maxUnreportedSends && now >= p.nextTryAt
 }
 
 // terminationRetryInterval returns the time from the latest try of a termination to the next one after its connection
--- a/internal/platform/copies.go
+++ b/internal/platform/copies.go
@@ -1,6 +1,9 @@
 package platform
 
 import (
+	"slices"
+
+	"glenport/internal/eventloop"
 	"glenport/internal/platform/connmanager"
 	"glenport/scheduler"
 )
@@ -37,31 +40,45 @@
 	acceptedBy.registry.sendDueCancels()
 }
 
-// recordLostWhileSilent records an idempotent container that was reported as terminated because its machine was silent.
-// If the machine was only unreachable, the container is still running. A container that the machine never accepted from
-// this process is not recorded, because clients can make up any number of claims.
+// recordLostWhileSilent records a container that was reported as terminated because its machine was silent, if it is
+// idempotent or its client has ordered its end. If the machine was only unreachable, the container is still running. A
+// container that the machine never accepted from this process is not recorded, because clients can make up any number
+// of claims.
 func (m *machine) recordLostWhileSilent(a *attempt) {
-	if a.wasAcceptedByMachine() && a.container.isIdempotent() {
-		m.lostWhileSilent = append(m.lostWhileSilent, a.id())
+	if a.wasAcceptedByMachine() && (a.container.isIdempotent() || a.state == attemptTerminating) {
+		m.lostWhileSilent = append(m.lostWhileSilent, lostContainer{a.id(), a.createdAt})
 	}
 }
 
+// lostContainer is a container that was declared lost, although it may be running.
+type lostContainer struct {
+	id        scheduler.ContainerID
+	createdAt eventloop.Tick
+}
+
 // cancelLostWhileSilent cancels the containers that were declared lost while the machine was silent. It is called when
 // the machine shows activity on a connection.
 func (m *machine) cancelLostWhileSilent(mc *machineConn) {
 	if !mc.isEstablished() {
 		return // nothing may be written
 	}
-	for _, id := range m.lostWhileSilent {
-		m.env.cancels.Add(connmanager.Time(m.env.loop.Now()), m.cancelFor(id))
-		mc.sendCancel(m.cancelFor(id))
+	for _, lost := range m.lostWhileSilent {
+		m.env.cancels.Add(connmanager.Time(m.env.loop.Now()), m.cancelFor(lost.id))
+		mc.sendCancel(m.cancelFor(lost.id))
 	}
 	m.lostWhileSilent = nil
 }
 
-// discardCopyRecords discards the records of copies at a machine that is gone or has restarted: no copy is running
-// there.
-func (m *machine) discardCopyRecords() {
+// discardCopies discards the records of copies at a machine that is gone: none is running there.
+func (m *machine) discardCopies() {
 	m.lostWhileSilent = nil
 	m.env.cancels.MachineGone(string(m.id))
 }
+
+// discardCopiesBefore discards the records of copies from before the machine has restarted: none of them is running.
+func (m *machine) discardCopiesBefore(restart eventloop.Tick) {
+	m.lostWhileSilent = slices.DeleteFunc(m.lostWhileSilent, func(lost lostContainer) bool {
+		return lost.createdAt <= restart
+	})
+	m.env.cancels.MachineRestarted(string(m.id), connmanager.Time(restart))
+}
--- a/internal/platform/machineconns.go
+++ b/internal/platform/machineconns.go
@@ -32,6 +32,7 @@
 	probes            map[string]*probe                  // pending probes by identifier
 	onEstablished     []func()                           // called once the connection is established
 	runningContainers int                                // number of running containers that were offered on it
+	dialedAt          eventloop.Tick
 	lastUsedAt        eventloop.Tick
 }
 
@@ -45,6 +46,7 @@
 		lines:      jsonlines.LineSplitter{MaxBytes: jsonlines.MaxLineBytes},
 		attempts:   map[scheduler.ContainerID]*attempt{},
 		probes:     map[string]*probe{},
+		dialedAt:   m.env.loop.Now(),
 		lastUsedAt: m.env.loop.Now(),
 	}
 	mc.conn = m.env.loop.Dial(m.addr, mc, machineOutputLimit, m.env.config.ConnectTimeout)
--- a/internal/platform/machineconnset.go
+++ b/internal/platform/machineconnset.go
@@ -36,25 +36,37 @@
 
 // acquire returns a connection that carries no offer, otherwise a new one, otherwise the connection with the fewest
 // offers. It returns nil if no connection is usable and none may be opened.
-func (s *machineConnSet) acquire() *machineConn { return s.acquireOther(0) }
-
-// acquireOther is acquire without the connection that has an ID; 0 excludes none.
-func (s *machineConnSet) acquireOther(excluded connmanager.MachineConnID) *machineConn {
+func (s *machineConnSet) acquire() *machineConn {
 	conns := s.active()
-	best := leastLoaded(conns, excluded, s.env.loop.Now())
+	best := leastLoaded(conns, s.env.loop.Now())
 	if best != nil && (best.offerCount() == 0 || s.atLimit(len(conns)) || !s.pool.makeRoom()) {
 		return best
 	}
 	return s.connect()
 }
 
+// acquireDialedAfter returns a connection that was dialed after a moment, if possible, and otherwise any connection.
+// The moment 0 makes no difference between connections.
+func (s *machineConnSet) acquireDialedAfter(moment eventloop.Tick) *machineConn {
+	if moment == 0 {
+		return s.acquire()
+	}
+	later := slices.DeleteFunc(s.active(), func(mc *machineConn) bool { return mc.dialedAt <= moment })
+	if best := leastLoaded(later, s.env.loop.Now()); best != nil {
+		return best
+	}
+	if mc := s.connect(); mc != nil {
+		return mc
+	}
+	return s.acquire()
+}
+
 // leastLoaded returns the usable connection that carries the fewest offers, or nil if there is none. A connection is
-// not usable if it has the excluded ID, if its machine may be closing it as idle, or if it is still being established
-// for another offer.
-func leastLoaded(conns []*machineConn, excluded connmanager.MachineConnID, now eventloop.Tick) *machineConn {
+// not usable if its machine may be closing it as idle, or if it is still being established for another offer.
+func leastLoaded(conns []*machineConn, now eventloop.Tick) *machineConn {
 	var best *machineConn
 	for _, mc := range conns {
-		if mc.id == excluded || !mc.isEstablished() && mc.offerCount() > 0 ||
+		if !mc.isEstablished() && mc.offerCount() > 0 ||
 			!mc.isBusy() && !mc.poolState(now, false).CanCarryAttempt() {
 			continue
 		}
--- a/internal/platform/machineregistry.go
+++ b/internal/platform/machineregistry.go
@@ -148,6 +148,7 @@
 	for m := range r.sorted() { // a machine may be evicted when another one needs a connection
 		m.conns.maintain(now)
 	}
+	r.finishUnconfirmed()
 	r.sendDueCancels()
 }
 
@@ -176,6 +177,7 @@
 	if a := m.attempt(id); a == nil {
 		r.env.notifyUnadoptedEnd(id, at, cause)
 	} else {
+		r.env.cancels.Discard(m.cancelFor(id))
 		a.finishRunning(cause, scheduler.AttemptEnded{Outcome: cause.outcomeAfterAccept()})
 	}
 }
--- a/internal/platform/machines.go
+++ b/internal/platform/machines.go
@@ -21,7 +21,7 @@
 	runningLoad adoption.Load                      // load of the containers that are running at the machine
 
 	// containers declared lost because the machine was silent; kept until it shows activity, restarts or is gone
-	lostWhileSilent []scheduler.ContainerID
+	lostWhileSilent []lostContainer
 }
 
 // isListed reports whether the machine list has named the machine.
@@ -116,13 +116,14 @@
 	} else {
 		m.registry.claimAddr(m)
 	}
-	if m.startedAt != entry.StartedAt {
-		m.discardCopyRecords()
-	}
+	restarted := m.startedAt != entry.StartedAt
 	m.state, m.startedAt = entry.State, entry.StartedAt
 	if m.startedAt > 0 {
 		m.failRunning(eventloop.Tick(m.startedAt))
 	}
+	if restarted {
+		m.discardCopiesBefore(eventloop.Tick(m.startedAt))
+	}
 }
 
 // markReplaced marks the machine as gone, because another machine has its address. It returns the entry that reports
@@ -141,7 +142,7 @@
 func (m *machine) finishUpdate() {
 	if m.isGone() {
 		m.failRunning(m.env.loop.Now())
-		m.discardCopyRecords()
+		m.discardCopies()
 		m.releaseAddr()
 	}
 	m.evictIfGone()
--- a/internal/platform/terminations_test.go
+++ b/internal/platform/terminations_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"testing"
 
+	"glenport/internal/platform/failuredetector"
 	"glenport/internal/platform/jsonlines"
 	"glenport/internal/testutil"
 )
@@ -78,3 +79,48 @@
 		})
 	}
 }
+
+// A container counts as lost before its machine has read the termination, and the machine has it: the termination still
+// reaches the machine. Guards against a container that runs on because the process dropped the order with its record.
+func TestTerminationOutlivesTheLossOfTheContainer(t *testing.T) {
+	detector := func(lost failuredetector.DeclareLost) func(*Server) {
+		return func(s *Server) { s.applyDetectorAction(lost) }
+	}
+	for name, lose := range map[string]func(*Server){
+		"machine refused a connection": detector(failuredetector.DeclareLost{Machine: "a"}),
+		"machine was silent":           detector(failuredetector.DeclareLost{Machine: "a", SilentFor: 1}),
+		"claim was displaced":          func(s *Server) { s.containers.lookup(requestID).displace() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, ended := machineThatMissesOneOrder(t, forgetUnread)
+			r := startWithMachineA(t, addr, attemptOnA(0))
+			client := r.place()
+			client.send(endLine(requestID, jsonlines.CauseNormal))
+			client.expectLive(1) // the order is read
+			r.runOnLoop(func() { lose(r.server) })
+			msg := testutil.Receive(t, ended)
+			testutil.Expect(t, isMessage(msg, jsonlines.OpEnd, requestID, jsonlines.CauseNormal), "received %+v", msg)
+		})
+	}
+}
+
+// A machine that does not report the end of a container does not have it: the container ends here in bounded time.
+func TestUnconfirmedTerminationEndsTheContainer(t *testing.T) {
+	addr, _ := recordingMachine(t)
+	r := startWithMachineA(t, addr, attemptOnA(0))
+	client := r.dialClient()
+	client.send(offerLine(requestID, ";at:a"), endLine(requestID, jsonlines.CauseNormal))
+	client.expectLive(1)
+	r.runOnLoop(func() {
+		m := r.server.machines.lookup("a")
+		for range 100 { // more sends than a termination has
+			r.server.env.cancels.RecordSent(m.cancelFor(requestID))
+		}
+		r.server.env.cancels.Repeat(0, m.cancelFor(requestID))
+	})
+	testutil.WaitUntil(t, "the container is removed", func() bool {
+		count := 1
+		r.runOnLoop(func() { count = r.server.containers.count() })
+		return count == 0
+	})
+}
