Platform: unconfirmed ends and orders delay the exit, up to 0.3 s before the kill

Callers would see: the end of a container is told to nobody. A client that does not acknowledge was told first, and the scheduler exits at a planned restart before it tells another; the machine does not repeat an end that was read.

Cause: shutdownSequence.stopIfDrained waits for open requests only. What is pending in the connection manager (ends without an acknowledgement) and in connmanager.Cancels (orders on no connection, terminations without a report) is dropped by the exit.

Change: with such messages the process stays until 0.3 s before the platform may kill it (ShouldKeepDelivering).

Why it works: the messages are repeated until confirmed while the process runs, and it uses the time that the protocol grants. What is not confirmed by then is lost as before.

--- a/internal/platform/connmanager/cancels.go
+++ b/internal/platform/connmanager/cancels.go
@@ -192,6 +192,17 @@
 	p.triedAt, p.conn = now, conn
 }
 
+// Unsent returns the number of cancels that no connection carries, and of terminations without a report.
+func (c *Cancels) Unsent() int {
+	unsent := 0
+	for _, p := range c.queue {
+		if !p.removed && (p.conn == 0 || p.termination) {
+			unsent++
+		}
+	}
+	return unsent
+}
+
 // RecordSent records that the message of a pending cancel was written.
 func (c *Cancels) RecordSent(cancel Cancel) {
 	if p := c.pending[cancel]; p != nil {
--- a/internal/platform/connmanager/notifications.go
+++ b/internal/platform/connmanager/notifications.go
@@ -20,6 +20,9 @@
 	notifiedClients    []ClientID // all clients that were notified
 }
 
+// Unacknowledged returns the number of terminations that no client has acknowledged.
+func (m *Manager) Unacknowledged() int { return len(m.terminations) }
+
 // containerTerminated notifies the client that requested the container or, if that has disconnected, the likeliest
 // owner.
 func (m *Manager) containerTerminated(now Time, e ContainerTerminated) {
--- a/internal/platform/connmanager/shutdown.go
+++ b/internal/platform/connmanager/shutdown.go
@@ -20,6 +20,13 @@
 	return elapsed < drainTime(longestTimeout) || unanswered > 0
 }
 
+// ShouldKeepDelivering reports whether a scheduler that has answered all requests keeps running, because that many
+// messages are unconfirmed: nothing repeats them after its exit. It exits before the platform kills it.
+func ShouldKeepDelivering(elapsed Time, unconfirmed int, longestTimeout Time) bool {
+	killedAt := min(longestTimeout, maxDrainTime) + killGracePeriod
+	return unconfirmed > 0 && elapsed < killedAt-forceAnswersMargin
+}
+
 // ShouldForceAnswers reports whether all open requests have to be answered now, before the platform kills the
 // scheduler.
 func ShouldForceAnswers(elapsed, longestTimeout Time) bool {
--- a/internal/platform/connmanager/shutdown_test.go
+++ b/internal/platform/connmanager/shutdown_test.go
@@ -33,3 +33,21 @@
 		testutil.Expect(t, !tc.forces || tc.elapsed+Second/4 <= killed, "%+v: forces answers too late", tc)
 	}
 }
+
+// Unconfirmed messages keep a scheduler running until shortly before the kill, and no longer.
+func TestUnconfirmedMessagesDelayTheExit(t *testing.T) {
+	for _, tc := range []struct {
+		longest, elapsed Time
+		unconfirmed      int
+		delivers         bool
+	}{
+		{6 * Second, 3 * Second, 0, false},
+		{6 * Second, 3 * Second, 1, true},
+		{6 * Second, 34*Second/10 - 1, 1, true},
+		{6 * Second, 34 * Second / 10, 1, false}, // the kill comes after 3.7 s at the earliest
+		{Second / 10, Second / 2, 1, false},      // the kill comes after 0.8 s
+	} {
+		got := ShouldKeepDelivering(tc.elapsed, tc.unconfirmed, tc.longest)
+		testutil.Expect(t, got == tc.delivers, "%+v: delivers %t", tc, got)
+	}
+}
--- a/internal/platform/server.go
+++ b/internal/platform/server.go
@@ -95,6 +95,7 @@
 		return connManager.Handle(connmanager.Time(now), events)
 	}
 	s.env.connManagerQueue.apply = s.applyConnAction
+	s.shutdown.unconfirmed = func() int { return connManager.Unacknowledged() + s.env.cancels.Unsent() }
 	detector := failuredetector.New()
 	s.env.failureDetectorQueue.handle = func(
 		now eventloop.Tick, events []failuredetector.Event,
--- a/internal/platform/shutdown.go
+++ b/internal/platform/shutdown.go
@@ -10,8 +10,10 @@
 type shutdownSequence struct {
 	env        *environment
 	containers *containerRegistry
-	state      shutdownState
-	startedAt  eventloop.Tick // start of the shutdown
+	// unconfirmed returns the number of messages that the process has to repeat until they are confirmed
+	unconfirmed func() int
+	state       shutdownState
+	startedAt   eventloop.Tick // start of the shutdown
 }
 
 // shutdownState is the state of the process.
@@ -81,7 +83,9 @@
 		return
 	}
 	elapsed := s.elapsed(s.env.loop.Now())
-	if connmanager.ShouldKeepDraining(elapsed, s.containers.unansweredCount(), s.longestPlacementTimeout()) {
+	longest := s.longestPlacementTimeout()
+	if connmanager.ShouldKeepDraining(elapsed, s.containers.unansweredCount(), longest) ||
+		connmanager.ShouldKeepDelivering(elapsed, s.unconfirmed(), longest) {
 		s.resume()
 		return
 	}
--- a/internal/platform/shutdown_test.go
+++ b/internal/platform/shutdown_test.go
@@ -174,3 +174,26 @@
 	testutil.Receive(t, conns).send(endLine(requestID, jsonlines.CauseNormal))
 	client.expectEnd(requestID, jsonlines.CauseNormal)
 }
+
+// A scheduler that shuts down does not exit while an end is unacknowledged. Guards against an end that is lost because
+// the process exits once it has written the notification.
+func TestUnacknowledgedEndDelaysTheExit(t *testing.T) {
+	machines := make(chan *peer, 1)
+	addr := serveMessages(t, func(m *peer, msg *jsonlines.Message) {
+		m.send(acceptLine(msg.RequestID))
+		machines <- m
+	})
+	r := startWithMachineA(t, addr, attemptOnA(0))
+	owner := r.place()
+	testutil.Receive(t, machines).send(endLine(requestID, jsonlines.CauseNormal))
+	owner.expectEnd(requestID, jsonlines.CauseNormal)
+	var state shutdownState
+	r.runOnLoop(func() {
+		r.markShuttingDown(3 * eventloop.Second)
+		r.server.shutdown.stopIfDrained()
+		state = r.server.shutdown.state
+	})
+	testutil.Equal(t, state, processDraining)
+	owner.send(endedLine(requestID))
+	owner.expectClosed()
+}
