Platform: send the cancel of an offer again if its connection fails

Callers would see: a client cancels a request, or its time is over, while the machine accepts the offer; the connection is reset before the machine reads the cancel. The container runs on, and the client, whose request is closed, requests it again: two copies.

Cause: attempt.cancel wrote the cancel on the connection of the offer and forgot it. An offer is given up with its connection, but a container that was accepted before belongs to none. docs/ROADMAP.md had this as a known gap for attempts that timed out.

Change: the cancel is held in connmanager.Cancels from the first write on. A new attempt at the machine discards it.

If no container runs there, the machine ignores it.

--- a/internal/platform/attempts.go
+++ b/internal/platform/attempts.go
@@ -38,6 +38,7 @@
 
 // start acquires a connection for the attempt. The attempt ends at its deadline at the latest.
 func (a *attempt) start() {
+	a.env.cancels.Discard(a.machine.cancelFor(a.id())) // of an earlier attempt at the machine
 	a.machine.addAttempt(a)
 	if !a.machine.hasAddr() {
 		a.finish(scheduler.AttemptEnded{Outcome: scheduler.OutcomeNotSent})
@@ -90,11 +91,23 @@
 // cancel ends a pending attempt with an outcome. If the offer was sent, it is cancelled at the machine.
 func (a *attempt) cancel(ended scheduler.AttemptEnded) {
 	if a.awaitsAnswer() {
-		a.conn.send(cancelMessage(a.id()))
+		a.cancelOffer()
 	}
 	a.finish(ended)
 }
 
+// cancelOffer cancels the offer on its connection. The machine may have accepted it already, and the container then
+// belongs to no connection. The cancel is therefore sent again if the connection fails.
+func (a *attempt) cancelOffer() {
+	now, cancel := connmanager.Time(a.env.loop.Now()), a.machine.cancelFor(a.id())
+	var carriedBy connmanager.MachineConnID
+	if a.conn.send(cancelMessage(a.id())) {
+		carriedBy = a.conn.id
+	}
+	a.env.cancels.Add(now, cancel)
+	a.env.cancels.RecordTry(now, cancel, carriedBy)
+}
+
 // accept marks the container as running after its machine accepted the offer, and answers the request.
 func (a *attempt) accept(accepted offerAccepted) error {
 	if len(accepted.description) == 0 {
--- a/internal/platform/terminations_test.go
+++ b/internal/platform/terminations_test.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"testing"
 
+	"glenport/internal/platform/connmanager"
 	"glenport/internal/platform/failuredetector"
 	"glenport/internal/platform/jsonlines"
 	"glenport/internal/testutil"
@@ -24,6 +25,39 @@
 // forgetUnread leaves the connection open and reads nothing more.
 func forgetUnread(_ *peer, testEnds <-chan bool) { <-testEnds }
 
+// The cancel of an offer that its machine has not read is sent again. Guards against a container that runs although its
+// request was cancelled: the machine has accepted the offer, and cancel and accept are lost with the connection.
+func TestUnreadCancelOfAnOfferIsSentAgain(t *testing.T) {
+	cancelled := make(chan *jsonlines.Message, 10)
+	var offered atomic.Bool
+	addr := serveTCP(t, func(m *peer) {
+		msg := m.receive()
+		if msg != nil && msg.Op == jsonlines.OpEnd {
+			cancelled <- msg
+			m.send(endLine(msg.RequestID, jsonlines.CauseCancelled))
+		}
+		if offered.CompareAndSwap(false, true) {
+			_, _ = m.r.Peek(1) // waits for the cancel
+			resetUnread(m, nil)
+			return
+		}
+		m.receive()
+	})
+	r := startWithMachineA(t, addr, attemptOnA(0))
+	client := r.request(requestID)
+	testutil.WaitUntil(t, "the machine has read the offer", offered.Load)
+	client.send(endLine(requestID, jsonlines.CauseNormal))
+	msg := testutil.Receive(t, cancelled)
+	testutil.Expect(t, isMessage(msg, jsonlines.OpEnd, requestID, jsonlines.CauseNormal), "received %+v", msg)
+	testutil.WaitUntil(t, "nothing more is to be sent", func() bool {
+		pending := true
+		r.runOnLoop(func() {
+			pending = r.server.env.cancels.IsPending(connmanager.Cancel{Machine: "a", RequestID: requestID})
+		})
+		return !pending
+	})
+}
+
 // machineThatMissesOneOrder accepts each offer, does not read the first message that follows on the connection of an
 // offer, and ends a container when it reads its termination on a later connection. It sends these terminations to
 // ended.
