trial platform: ended containers have to end; unread resets and forgotten connections

Cause, by trace: nothing judged whether a container ended once a client had ordered its end (it was marked, and every judge leaves out what is marked); containers end by themselves after 0.05 to 3 s, before they are missed; resets came at random moments, and no connection was ever forgotten.

Change: a container whose end was ordered runs on until its machine reads the order, and has to end within 3 s (owners request again up to 3 s after an end), not counting time in which the process could not reach the machine. A machine resets the connection on which the next data arrives, unread, also right after an order; and forgets its connections. An injected fault (termination) shows that the check works.

--- a/internal/testbed/platformcheck/actions.go
+++ b/internal/testbed/platformcheck/actions.go
@@ -71,6 +71,7 @@
 		{text: "a client cancels a request", do: func(w *World, e Event) { w.withClient(e, (*client).cancelOldest) }},
 		{text: "a client sends a request and cancels its oldest one", do: (*World).clientSubmitsAndCancels},
 		{text: "a client ends a container", do: (*World).endContainer},
+		{text: "a client ends a container whose machine does not read the order", do: (*World).endContainerUnread},
 		{text: "a client closes its connection", do: func(w *World, e Event) {
 			w.clientLeaves(e, (*simnet.PeerConn).Close)
 		}},
@@ -95,6 +96,12 @@
 	},
 	KindConnection: {
 		{text: "a machine resets a connection", do: func(w *World, e Event) { w.targetMachine(e).resetConnection() }},
+		{text: "a machine resets the connection on which the next data arrives", do: func(w *World, e Event) {
+			w.targetMachine(e).resetsNext = true
+		}},
+		{text: "a machine forgets its connections", do: func(w *World, e Event) {
+			w.targetMachine(e).forgetConnections()
+		}},
 		{text: "a machine closes a connection", do: func(w *World, e Event) { w.targetMachine(e).closeConnection() }},
 		{
 			text: "a machine refuses connections for", span: [2]time.Duration{10 * ms, 1000 * ms},
--- a/internal/testbed/platformcheck/changes.go
+++ b/internal/testbed/platformcheck/changes.go
@@ -207,6 +207,16 @@
 	}
 }
 
+// forgetConnections makes the machine forget its connections.
+func (m *machine) forgetConnections() {
+	if m.partitioned {
+		return
+	}
+	for _, conn := range slices.Clone(m.conns) {
+		conn.forget()
+	}
+}
+
 // closeConnection closes one connection of the process to the machine.
 func (m *machine) closeConnection() {
 	if len(m.conns) > 0 && !m.partitioned {
--- a/internal/testbed/platformcheck/clientactions.go
+++ b/internal/testbed/platformcheck/clientactions.go
@@ -50,7 +50,15 @@
 }
 
 // endContainer makes a client end a running container, which another client may have submitted.
-func (w *World) endContainer(e Event) {
+func (w *World) endContainer(e Event) { w.endContainerThen(e, func(*placement) {}) }
+
+// endContainerUnread is endContainer, and the machine of the container resets the connection that carries the order.
+func (w *World) endContainerUnread(e Event) {
+	w.endContainerThen(e, func(p *placement) { p.machine.resetsNext = true })
+}
+
+// endContainerThen makes a client end a running container, and calls then once the process has read the order.
+func (w *World) endContainerThen(e Event, then func(*placement)) {
 	known := w.knownPlacements()
 	if len(known) == 0 {
 		return
@@ -59,7 +67,10 @@
 	w.withClient(e, func(c *client) {
 		c.whenEstablished(func() {
 			p.cancelled = true
-			c.write(endLine(p.request.id, jsonlines.CauseCancelled))
+			c.writeMarked(endLine(p.request.id, jsonlines.CauseCancelled), func() {
+				p.recordTerminationRead()
+				then(p)
+			})
 		})
 	})
 }
@@ -87,7 +98,7 @@
 func (w *World) exhaustDescriptors(e Event, span time.Duration) {
 	kernel := w.kernel
 	kernel.Limit = kernel.OpenDescriptors() + int(e.Target%2)
-	w.network.After(span, func() { kernel.Limit = w.params.descriptors })
+	w.network.After(span, func() { kernel.Limit, w.descriptorsFreeAt = w.params.descriptors, w.now() })
 }
 
 // burst connects clients that send nothing.
--- a/internal/testbed/platformcheck/doc.go
+++ b/internal/testbed/platformcheck/doc.go
@@ -13,7 +13,8 @@
 //     machine, it reports the end within a second, if it has served a client all that time and no client has left its
 //     input unread. A container that still runs is not reported to have ended.
 //   - Rule 2: no machine is offered a container that may run already, unless the workload class allows it. A request
-//     has at most one attempt in flight.
+//     has at most one attempt in flight. A container has ended 3 s after the process has read a client's order to end
+//     it, not counting the time in which the process could not reach the machine.
 //   - Rule 3: a machine gets no offers once the process has known for longer than the grace period that the machine
 //     drains or is gone.
 //   - Rule 4: once the process has read that a machine has started, it sends that machine no more offers and probes
--- a/internal/testbed/platformcheck/endreportjudge.go
+++ b/internal/testbed/platformcheck/endreportjudge.go
@@ -58,12 +58,18 @@
 	}
 }
 
+// isKnown reports whether the process knew that the container ran, from its accept or from a claim.
+func (p *placement) isKnown() bool {
+	incarnation := p.machine.w.incarnations
+	accepted := p.offer.incarnation == incarnation && p.offer.acceptRead
+	return accepted || p.claimReadBy == incarnation
+}
+
 // expectReport schedules the check that the end is reported soon. It is called when the process has read the end. The
 // check applies only if the process knew that the container ran, from its accept or from a claim.
 func (p *placement) expectReport() {
 	w := p.machine.w
-	accepted := p.offer.incarnation == w.incarnations && p.offer.acceptRead
-	if !accepted && p.claimReadBy != w.incarnations {
+	if !p.isKnown() {
 		return
 	}
 	endReadAt, incarnation := w.now(), w.incarnations
--- a/internal/testbed/platformcheck/faults.go
+++ b/internal/testbed/platformcheck/faults.go
@@ -43,12 +43,14 @@
 	IgnoredSlowStart Fault = "cold"
 	// WholeBudget makes the scheduler spend the slow-start budgets alone, as if there were no other schedulers.
 	WholeBudget Fault = "part"
+	// LostTermination loses the orders to end some running containers on their way to the machines.
+	LostTermination Fault = "termination"
 )
 
 // Faults lists all faults.
 var Faults = []Fault{
 	LostAnswer, ForgottenAttempt, IgnoredDrain, LeakedDescriptor, RepeatedWrite, LostEnd, DelayedEnd,
-	IgnoredSpread, UncountedClaim, IgnoredSlowStart, WholeBudget,
+	IgnoredSpread, UncountedClaim, IgnoredSlowStart, WholeBudget, LostTermination,
 }
 
 // UnknownFaultError is returned for an unknown fault name.
@@ -142,6 +144,12 @@
 	return line
 }
 
+// losesTermination reports whether the orders to end a running container are lost. All orders for the container are lost,
+// so that repeats do not help.
+func (f *installedFault) losesTermination(r *request) bool {
+	return f.fault == LostTermination && r.lifetimeMillis()%everyNth == 0
+}
+
 // faultyDecisions changes the events and actions of the scheduler.
 type faultyDecisions struct {
 	platform.Scheduler
--- a/internal/testbed/platformcheck/machine.go
+++ b/internal/testbed/platformcheck/machine.go
@@ -35,9 +35,11 @@
 	sends            []time.Duration // times of offers and probes to it
 	falseClaimReadBy int             // last incarnation of the process that has read a false claim for the machine
 	uncertainUntil   time.Duration   // the process may consider offers lost that it sent before this time
+	reachableAgainAt time.Duration   // when the last fault ended that kept the process from connecting to it
 	partitioned      bool            // it is cut off; what it sends and receives is deferred
 	deferredCalls    []func()        // called when the partition ends
 	conns            []*machineConn
+	resetsNext       bool       // it resets the connection on which the next data arrives, and does not read the data
 	responses        []response // to its next offers
 	containers       []*placement
 	unreadEnds       []endNotice // repeated on each new connection, until the process has read them there
@@ -87,6 +89,7 @@
 // restore ends a partition, and refused or delayed connections.
 func (m *machine) restore() {
 	m.partitioned, m.endpoint.Silent, m.endpoint.Refuse, m.endpoint.Delay = false, false, m.state == healthGone, 0
+	m.reachableAgainAt = m.w.now()
 	deferred := m.deferredCalls
 	m.deferredCalls = nil
 	for _, do := range deferred {
@@ -98,7 +101,7 @@
 func (m *machine) refuse(span time.Duration) {
 	m.endpoint.Refuse, m.unreliable = true, true
 	m.extendUncertainty(m.w.now() + span)
-	m.w.network.After(span, func() { m.endpoint.Refuse = m.state == healthGone })
+	m.w.network.After(span, func() { m.endpoint.Refuse, m.reachableAgainAt = m.state == healthGone, m.w.now() })
 }
 
 // stop stops the machine. Its connections are reset and its containers end without a report.
@@ -114,7 +117,7 @@
 	for _, r := range m.unreadEnds {
 		r.placement.endReportExcused = true
 	}
-	m.containers, m.unreadEnds, m.deferredCalls, m.responses = nil, nil, nil, nil
+	m.containers, m.unreadEnds, m.deferredCalls, m.responses, m.resetsNext = nil, nil, nil, nil, false
 	for _, conn := range slices.Clone(m.conns) {
 		conn.reset()
 	}
@@ -142,10 +145,18 @@
 	o.request.placements = append(o.request.placements, p)
 	m.containers = append(m.containers, p)
 	lifetime := time.Duration(50+o.request.lifetimeMillis()) * time.Millisecond
-	m.w.network.After(lifetime, func() { m.finish(p, jsonlines.CauseNormal) })
+	m.w.network.After(lifetime, func() { m.finishUnlessTerminated(p) })
 	return p
 }
 
+// finishUnlessTerminated ends a container that has run for its time. A container whose end a client has ordered runs on
+// until the machine reads the order, so that a lost order shows.
+func (m *machine) finishUnlessTerminated(p *placement) {
+	if !p.cancelled {
+		m.finish(p, jsonlines.CauseNormal)
+	}
+}
+
 // finish ends a running container and reports the end.
 func (m *machine) finish(p *placement, cause int) {
 	if !p.runs() || !slices.Contains(m.containers, p) {
--- a/internal/testbed/platformcheck/machineconn.go
+++ b/internal/testbed/platformcheck/machineconn.go
@@ -15,6 +15,7 @@
 	conn    *simnet.PeerConn
 	lines   lineReader
 	open    bool
+	deaf    bool     // the machine reads nothing more on it
 	offers  []*offer // in flight or finished
 }
 
@@ -30,7 +31,15 @@
 
 // Received implements simnet.PeerHandler.
 func (c *machineConn) Received(_ *simnet.PeerConn, chunk simnet.Chunk) {
-	c.machine.whenReachable(func() { c.lines.feed(chunk, c.handle) })
+	c.machine.whenReachable(func() {
+		if c.machine.resetsNext && c.open {
+			c.machine.resetsNext, c.deaf = false, true
+			c.reset()
+		}
+		if !c.deaf {
+			c.lines.feed(chunk, c.handle)
+		}
+	})
 }
 
 // Ended implements simnet.PeerHandler. The offers on the connection are finished.
@@ -46,6 +55,12 @@
 	c.conn.Reset()
 }
 
+// forget makes the machine forget the connection: it reads and writes nothing more on it, and does not end it.
+func (c *machineConn) forget() {
+	c.close()
+	c.deaf = true
+}
+
 func (c *machineConn) close() { c.closeAt(c.machine.w.now()) }
 
 // closeAt records that the connection ended at a time. The offers on it are finished from that time.
@@ -139,7 +154,7 @@
 		}
 	}
 	m := c.machine
-	if p := m.running(msg.RequestID); p != nil {
+	if p := m.running(msg.RequestID); p != nil && !m.w.fault.losesTermination(p.request) {
 		p.offer.releaseBy(line)
 		m.finish(p, jsonlines.CauseCancelled)
 	}
--- a/internal/testbed/platformcheck/platformcheck_test.go
+++ b/internal/testbed/platformcheck/platformcheck_test.go
@@ -33,6 +33,7 @@
 		UncountedClaim:   {ruleSpread},
 		IgnoredSlowStart: {ruleSlowStart},
 		WholeBudget:      {ruleSlowStart},
+		LostTermination:  {ruleDuplicate},
 	} {
 		t.Run(string(fault), func(t *testing.T) {
 			result := Campaign{Events: 12_000, Fault: fault, Workers: 2}.Play()
--- a/internal/testbed/platformcheck/records.go
+++ b/internal/testbed/platformcheck/records.go
@@ -68,22 +68,23 @@
 
 // placement is the record of a container that a machine has accepted.
 type placement struct {
-	request          *request
-	offer            *offer
-	machine          *machine
-	conn             *machineConn
-	description      string
-	endedAt          time.Duration   // 0: running
-	acceptDelivered  bool            // the client received the accept
-	cancelled        bool            // a client has cancelled it, so no end report is expected
-	endRead          bool            // an incarnation of the process has read its end
-	endReads         []time.Duration // times at which the process read its end
-	endReadBy        int             // last incarnation of the process that has read its end
-	endReported      bool
-	knownBy          int // last incarnation of the process that knew that the container runs
-	claimReadBy      int // last incarnation of the process that has read a claim that the container runs
-	claimReadAt      time.Duration
-	endReportExcused bool // no end report is expected, because the process may never have learned of the end
+	request                *request
+	offer                  *offer
+	machine                *machine
+	conn                   *machineConn
+	description            string
+	endedAt                time.Duration   // 0: running
+	acceptDelivered        bool            // the client received the accept
+	cancelled              bool            // a client has cancelled it, so no end report is expected
+	endRead                bool            // an incarnation of the process has read its end
+	endReads               []time.Duration // times at which the process read its end
+	endReadBy              int             // last incarnation of the process that has read its end
+	endReported            bool
+	knownBy                int // last incarnation of the process that knew that the container runs
+	claimReadBy            int // last incarnation of the process that has read a claim that the container runs
+	claimReadAt            time.Duration
+	terminationIncarnation int  // last incarnation of the process that has read a client's order to end it
+	endReportExcused       bool // no end report is expected, because the process may never have learned of the end
 }
 
 func (p *placement) runs() bool { return p.endedAt == 0 }
--- a/internal/testbed/platformcheck/world.go
+++ b/internal/testbed/platformcheck/world.go
@@ -47,16 +47,17 @@
 	lastRequestID uint64
 	params        worldParams
 
-	incarnations     int
-	termAt           time.Duration // when the process got TERM; 0: it has not got TERM
-	processKilled    bool          // the current incarnation was killed
-	runEnded         bool          // the process is not restarted any more
-	iterations       int           // of the event loop in the current second
-	stallTotal       time.Duration // total time for which the process was stalled
-	stallEnd         time.Duration // end of the last stall
-	stalls           []stallSpan
-	falseClaimReadBy int           // last incarnation of the process that has read a false claim
-	unreadUntil      time.Duration // latest time until which a client may have left its input unread
+	incarnations      int
+	termAt            time.Duration // when the process got TERM; 0: it has not got TERM
+	processKilled     bool          // the current incarnation was killed
+	runEnded          bool          // the process is not restarted any more
+	iterations        int           // of the event loop in the current second
+	descriptorsFreeAt time.Duration // when the process last had its descriptors back
+	stallTotal        time.Duration // total time for which the process was stalled
+	stallEnd          time.Duration // end of the last stall
+	stalls            []stallSpan
+	falseClaimReadBy  int           // last incarnation of the process that has read a false claim
+	unreadUntil       time.Duration // latest time until which a client may have left its input unread
 }
 
 // Play plays a run and returns the violations, the earliest first.
@@ -117,7 +118,7 @@
 func (w *World) endAllFaults() {
 	for _, m := range w.machines {
 		m.restore()
-		m.responses = nil
+		m.responses, m.resetsNext = nil, false
 	}
 	w.discovery.restore()
 	w.kernel.Limit = w.params.descriptors
