--- a/internal/testbed/platformcheck/faults.go
+++ b/internal/testbed/platformcheck/faults.go
@@ -144,8 +144,8 @@
 	return line
 }
 
-// losesTermination reports whether the orders to end a running container are lost. All orders for the container are lost,
-// so that repeats do not help.
+// losesTermination reports whether the orders to end a running container are lost. All orders for the container are
+// lost, so that repeats do not help.
 func (f *installedFault) losesTermination(r *request) bool {
 	return f.fault == LostTermination && r.lifetimeMillis()%everyNth == 0
 }
