Platform: a waiting termination leaves once its machine accepts a connection

Callers would see: a machine was cut off for 2.2 s while a client ended its container. It is back, the scheduler has a connection to it, and the order follows only 1.75 s later, after its backoff; with a reset at that moment, after another 2 s. The client may have requested the container again by then.

Cause: connmanager.Cancels backed off by the number of tries, whatever became of them, so that failed connections delayed an order to a machine that was reachable again.

Change: an established connection makes the machine's waiting terminations due, at most every 250 ms; a send ends the backoff that failed connections have built up.

--- a/internal/platform/cancels.go
+++ b/internal/platform/cancels.go
@@ -107,6 +107,13 @@
 	}
 }
 
+// sendWaitingTerminations sends the terminations that waited for a connection to the machine.
+func (m *machine) sendWaitingTerminations() {
+	if m.env.cancels.MachineReachable(connmanager.Time(m.env.loop.Now()), string(m.id)) {
+		m.env.loop.After(0, m.registry.sendDueCancels)
+	}
+}
+
 // cancelsFailed schedules the cancels again that the connection could not carry. A termination is sent again at once:
 // its client may soon request the container again.
 func (mc *machineConn) cancelsFailed() {
--- a/internal/platform/connmanager/cancels.go
+++ b/internal/platform/connmanager/cancels.go
@@ -17,7 +17,7 @@
 	// time within which a machine reports the end of a container that it was ordered to end; doubles with each send
 	firstReportTimeout = Second
 	lastReportTimeout  = 8 * Second // upper limit of the doubling
-	// a client that repeats its order is not passed on to the machine more often
+	// neither a client that repeats its order nor further connections make the tries more frequent
 	minTerminationInterval = Second / 4
 	// a machine that has got a termination so often, and does not report the end, does not have the container
 	maxUnreportedSends = 8
@@ -203,10 +203,12 @@
 	return unsent
 }
 
-// RecordSent records that the message of a pending cancel was written.
+// RecordSent records that the message of a pending cancel was written. The machine is reachable, so earlier tries without
+// a send do not delay the next one.
 func (c *Cancels) RecordSent(cancel Cancel) {
 	if p := c.pending[cancel]; p != nil {
 		p.sends++
+		p.tries = p.sends
 	}
 }
 
@@ -226,6 +228,18 @@
 	return terminations
 }
 
+// MachineReachable makes the terminations due that wait for a connection to a machine, which has just accepted one. It
+// reports whether there are any.
+func (c *Cancels) MachineReachable(now Time, machine string) (due bool) {
+	for _, p := range c.queue {
+		if !p.removed && p.termination && p.conn == 0 && p.Machine == machine {
+			p.nextTryAt = min(p.nextTryAt, max(now, p.triedAt+minTerminationInterval))
+			due = due || now >= p.nextTryAt
+		}
+	}
+	return due
+}
+
 // ConnClosedLocally removes the cancels of copies carried by a connection that this side has closed and that was not
 // reset. They are certain to have been read. A termination waits for the report of its machine.
 func (c *Cancels) ConnClosedLocally(conn MachineConnID) {
--- a/internal/platform/connmanager/terminations_test.go
+++ b/internal/platform/connmanager/terminations_test.go
@@ -174,3 +174,24 @@
 	testutil.Equal(t, len(due), maxCancels)
 	testutil.Equal(t, due[0].RequestID, "1")
 }
+
+// A termination that waits for a connection is due once its machine accepts one, and a reset after that is not held
+// against the machine as failed connections are.
+func TestTerminationIsDueOnceTheMachineIsReachable(t *testing.T) {
+	c := &Cancels{}
+	x := Cancel{"a", "x"}
+	c.AddTermination(0, x, 16)
+	for conn := range MachineConnID(8) { // the backoff reaches its limit
+		c.RecordTry(Second, x, conn+1)
+		c.ConnFailed(conn + 1)
+	}
+	testutil.SlicesEqual(t, c.Due(Second+lastCancelInterval-1), []DueCancel{})
+	testutil.Expect(t, !c.MachineReachable(2*Second, "b"), "machine b has a termination")
+	testutil.SlicesEqual(t, c.Due(2*Second), []DueCancel{})
+	testutil.Expect(t, c.MachineReachable(2*Second, "a"), "machine a has none")
+	testutil.SlicesEqual(t, c.Due(2*Second), []DueCancel{{x, Second}})
+	c.RecordTry(2*Second, x, 9)
+	c.RecordSent(x)
+	c.ConnFailed(9)
+	testutil.SlicesEqual(t, c.Due(2*Second), []DueCancel{{x, 2 * Second}})
+}
--- a/internal/platform/machineconns.go
+++ b/internal/platform/machineconns.go
@@ -139,6 +139,7 @@
 		return
 	}
 	mc.recordActivity()
+	mc.machine.sendWaitingTerminations()
 	waiting := mc.onEstablished
 	mc.onEstablished = nil
 	for _, do := range waiting {
--- a/internal/testbed/platformcheck/machineconn.go
+++ b/internal/testbed/platformcheck/machineconn.go
@@ -36,12 +36,28 @@
 			c.machine.resetsNext, c.deaf = false, true
 			c.reset()
 		}
-		if !c.deaf {
-			c.lines.feed(chunk, c.handle)
+		if c.deaf {
+			c.lines.feed(chunk, c.recordUnread)
+			return
 		}
+		c.lines.feed(chunk, c.handle)
 	})
 }
 
+// recordUnread records a line that the process has written and the machine does not read. If the line cancels an offer,
+// the process counts the offer as in flight no longer.
+func (c *machineConn) recordUnread(line receivedLine) {
+	msg, err := line.decode()
+	if err != nil || msg.Op != jsonlines.OpEnd {
+		return
+	}
+	for _, o := range c.offers {
+		if o.request.id == msg.RequestID {
+			o.finishAt(line.firstChunk.WrittenAt)
+		}
+	}
+}
+
 // Ended implements simnet.PeerHandler. The offers on the connection are finished.
 func (c *machineConn) Ended(conn *simnet.PeerConn, _ error) {
 	conn.Close()
