Platform: try a termination until its machine is reachable, and count expired reports

Callers would see: a machine is unreachable for over 15 s while a client ends its container, and back again: the order was given up, and the container runs on. Or the order is repeated only 4 s after a connection was forgotten, as two sends before it were lost with their connections.

Cause: a termination whose container counted as lost had eight tries, as the cancel of a copy; and the time to wait for the report doubled with each send, also with those whose connection had failed. A machine that resets eight connections would have counted as one that does not have the container.

Change: such a termination is tried every 2 s at most until the machine reports, leaves or restarts (1,024 at most, the oldest dropped). Only reports that expire on a connection that has not failed count, for the waiting time and for giving up. In the trial, a container runs on only once the process has read the order, and one at a machine whose connections are delayed for 6.5 s may count as lost (: 'machine lost silent_ms=6729').

--- a/internal/platform/connmanager/cancels.go
+++ b/internal/platform/connmanager/cancels.go
@@ -7,20 +7,20 @@
 // cancelCertainAfter.
 const (
 	maxCancels          = 1024       // of copies, and of containers that count as lost
-	maxCancelTries      = 8          // of such a cancel
+	maxCancelTries      = 8          // of the cancel of a copy
 	firstCancelInterval = Second / 4 // between the first two tries; doubles with each further try
 	lastCancelInterval  = 2 * Second // upper limit of the doubling
 	// the silence after which the failure detector declares a machine lost; a shorter silence may be a network
 	// partition
 	cancelCertainAfter = 6*Second + Second/2
 
-	// time within which a machine reports the end of a container that it was ordered to end; doubles with each send
+	// time within which a machine reports the end of a container that it was ordered to end; doubles with each expiry
 	firstReportTimeout = Second
 	lastReportTimeout  = 8 * Second // upper limit of the doubling
 	// neither a client that repeats its order nor further connections make the tries more frequent
 	minTerminationInterval = Second / 4
-	// a machine that has got a termination so often, and does not report the end, does not have the container
-	maxUnreportedSends = 8
+	// a machine that has let so many of these times expire does not have the container
+	maxExpiredReports = 8
 )
 
 // Cancel identifies an order to a machine to end a container.
@@ -53,8 +53,9 @@
 //
 // The container of a termination is known to run, so its machine reports the end. Nothing else confirms a termination:
 // it is resent when its connection fails, and when the report does not arrive in time, because the machine may have
-// forgotten the connection. After maxUnreportedSends it is given up. If the container counts as lost meanwhile, it may
-// still be running: the process calls Release, and the termination has as many tries left as the cancel of a copy.
+// forgotten the connection. After maxExpiredReports it is given up. If the container counts as lost meanwhile, it may
+// still be running: the process calls Release, and the termination is tried on until the machine reports the end,
+// leaves or restarts.
 //
 // A machine that has already read the order ignores the repeat, because it no longer has the container. A repeat cannot
 // end another container, because it names the same request. If the container is wanted at the machine again, the
@@ -72,6 +73,7 @@
 	cause       int  // of a termination, as its message states it
 	owned       bool // a running container of the process owns the termination
 	sends       int  // how often a termination was sent
+	expired     int  // how often no report came in time, although the connection did not fail
 	removed     bool
 	addedAt     Time
 	tries       int
@@ -96,17 +98,6 @@
 	})
 }
 
-func (c *Cancels) insert(p *pendingCancel) {
-	if c.pending == nil {
-		c.pending = map[Cancel]*pendingCancel{}
-	}
-	c.pending[p.Cancel] = p
-	if !p.owned {
-		c.countBounded()
-	}
-	c.queue = append(c.queue, p)
-}
-
 // countBounded counts one more cancel without an owner. If there are maxCancels already, the oldest is dropped.
 func (c *Cancels) countBounded() {
 	if c.bounded >= maxCancels {
@@ -123,7 +114,7 @@
 		return
 	}
 	c.countBounded()
-	p.owned, p.tries = false, 0
+	p.owned = false
 }
 
 // IsPending reports whether a cancel was added and has not been removed since.
@@ -138,15 +129,7 @@
 	return p.cause, true
 }
 
-// Repeat makes a termination due that its client has ordered again, unless it was tried within minTerminationInterval:
-// then it becomes due after that time.
-func (c *Cancels) Repeat(now Time, cancel Cancel) {
-	if p := c.pending[cancel]; p != nil && p.termination {
-		p.nextTryAt = min(p.nextTryAt, max(now, p.triedAt+minTerminationInterval))
-	}
-}
-
-// Unconfirmed removes the terminations of running containers that were sent maxUnreportedSends times without a report,
+// Unconfirmed removes the terminations of running containers that let maxExpiredReports times expire without a report,
 // and returns them. Their machine does not have the container.
 func (c *Cancels) Unconfirmed(now Time) []Cancel {
 	var unconfirmed []Cancel
@@ -176,22 +159,6 @@
 	return due
 }
 
-// RecordTry records a try of a cancel. conn carries the cancel, or will once established; 0 means that no connection
-// was available.
-func (c *Cancels) RecordTry(now Time, cancel Cancel, conn MachineConnID) {
-	p := c.pending[cancel]
-	if p == nil {
-		return
-	}
-	interval := backoff(firstCancelInterval, lastCancelInterval, p.tries)
-	if p.termination && conn != 0 {
-		interval = backoff(firstReportTimeout, lastReportTimeout, p.sends)
-	}
-	p.nextTryAt = now + interval
-	p.tries++
-	p.triedAt, p.conn = now, conn
-}
-
 // Unsent returns the number of cancels that no connection carries, and of terminations without a report.
 func (c *Cancels) Unsent() int {
 	unsent := 0
@@ -203,57 +170,6 @@
 	return unsent
 }
 
-// RecordSent records that the message of a pending cancel was written. The machine is reachable, so earlier tries without
-// a send do not delay the next one.
-func (c *Cancels) RecordSent(cancel Cancel) {
-	if p := c.pending[cancel]; p != nil {
-		p.sends++
-		p.tries = p.sends
-	}
-}
-
-// ConnFailed schedules another try of each cancel that the failed connection was to carry. It reports whether there was
-// a termination among them: its first repeat is due at once.
-func (c *Cancels) ConnFailed(conn MachineConnID) (terminations bool) {
-	for _, p := range c.queue {
-		if p.removed || p.conn != conn {
-			continue
-		}
-		p.conn = 0
-		if p.termination {
-			terminations = true
-			p.nextTryAt = p.triedAt + p.terminationRetryInterval()
-		}
-	}
-	return terminations
-}
-
-// MachineReachable makes the terminations due that wait for a connection to a machine, which has just accepted one. It
-// reports whether there are any.
-func (c *Cancels) MachineReachable(now Time, machine string) (due bool) {
-	for _, p := range c.queue {
-		if !p.removed && p.termination && p.conn == 0 && p.Machine == machine {
-			p.nextTryAt = min(p.nextTryAt, max(now, p.triedAt+minTerminationInterval))
-			due = due || now >= p.nextTryAt
-		}
-	}
-	return due
-}
-
-// ConnClosedLocally removes the cancels of copies carried by a connection that this side has closed and that was not
-// reset. They are certain to have been read. A termination waits for the report of its machine.
-func (c *Cancels) ConnClosedLocally(conn MachineConnID) {
-	for _, p := range c.queue {
-		switch {
-		case p.conn != conn:
-		case p.termination:
-			p.conn = 0
-		default:
-			c.remove(p)
-		}
-	}
-}
-
 // Discard removes a cancel, if it is pending. The process calls it when the container has ended at the machine or is
 // wanted there again.
 func (c *Cancels) Discard(cancel Cancel) {
@@ -282,58 +198,3 @@
 		}
 	}
 }
-
-func (c *Cancels) remove(p *pendingCancel) {
-	if p.removed {
-		return
-	}
-	p.removed = true
-	delete(c.pending, p.Cancel)
-	if !p.owned {
-		c.bounded--
-	}
-}
-
-func (p *pendingCancel) due() DueCancel {
-	if !p.termination {
-		return DueCancel{Cancel: p.Cancel}
-	}
-	return DueCancel{Cancel: p.Cancel, TriedAt: p.triedAt}
-}
-
-func (p *pendingCancel) isCertain(now Time) bool {
-	return !p.termination && p.conn != 0 && now-p.triedAt >= cancelCertainAfter
-}
-
-func (p *pendingCancel) isGivenUp(now Time) bool {
-	if p.owned || now < p.nextTryAt {
-		return false
-	}
-	return p.conn == 0 && p.tries >= maxCancelTries || p.isUnreported(now)
-}
-
-func (p *pendingCancel) isUnreported(now Time) bool {
-	return p.termination && p.sends >= maxUnreportedSends && now >= p.nextTryAt
-}
-
-// terminationRetryInterval returns the time from the latest try of a termination to the next one after its connection
-// has failed. The first repeat follows at once, because a client may request the container again half a second after it
-// has ordered the end.
-func (p *pendingCancel) terminationRetryInterval() Time {
-	if p.tries <= 1 {
-		return 0
-	}
-	return backoff(firstCancelInterval, lastCancelInterval, p.tries-2)
-}
-
-// backoff returns first doubled the given number of times, and at most last.
-func backoff(first, last Time, doublings int) Time {
-	interval := first
-	for range doublings {
-		if interval >= last {
-			break
-		}
-		interval *= 2
-	}
-	return min(interval, last)
-}
--- a/internal/platform/copies.go
+++ b/internal/platform/copies.go
@@ -40,12 +40,12 @@
 	acceptedBy.registry.sendDueCancels()
 }
 
-// recordLostWhileSilent records a container that was reported as terminated because its machine was silent, if it is
-// idempotent or its client has ordered its end. If the machine was only unreachable, the container is still running. A
-// container that the machine never accepted from this process is not recorded, because clients can make up any number
-// of claims.
+// recordLostWhileSilent records an idempotent container that was reported as terminated because its machine was silent.
+// If the machine was only unreachable, the container is still running. A container that the machine never accepted from
+// this process is not recorded, because clients can make up any number of claims. Nor is one whose client has ordered
+// its end: its termination is still pending.
 func (m *machine) recordLostWhileSilent(a *attempt) {
-	if a.wasAcceptedByMachine() && (a.container.isIdempotent() || a.state == attemptTerminating) {
+	if a.wasAcceptedByMachine() && a.container.isIdempotent() && a.state != attemptTerminating {
 		m.lostWhileSilent = append(m.lostWhileSilent, lostContainer{a.id(), a.createdAt})
 	}
 }
--- a/internal/testbed/platformcheck/spreadjudge.go
+++ b/internal/testbed/platformcheck/spreadjudge.go
@@ -51,6 +51,8 @@
 	spreadCheckDelay = 20 * time.Millisecond
 	// releaseSlack covers the delay until a machine receives that the process has ended an offer or a container.
 	releaseSlack = 20 * time.Millisecond
+	// lostAfterSilence is the time without a sign of life after which the process may consider a machine lost.
+	lostAfterSilence = 6500 * time.Millisecond
 	// uncertaintySlack is the time after a fault in which the process may still read its consequences.
 	uncertaintySlack = 200 * time.Millisecond
 )
@@ -107,6 +109,8 @@
 		return false
 	case o.machine.firstReadAt == 0, o.writtenAt <= max(o.machine.firstReadAt, o.machine.uncertainUntil):
 		return false
+	case o.machine.endpoint.Delay > 0 && later.writtenAt-o.writtenAt >= lostAfterSilence:
+		return false // the machine may have counted as silent
 	case o.writtenAt == later.writtenAt && later.isReleasedBy(o.writtenAt):
 		return false // the later offer was sent and ended first
 	}
