--- a/internal/testbed/platformcheck/machine.go
+++ b/internal/testbed/platformcheck/machine.go
@@ -149,8 +149,8 @@
 	return p
 }
 
-// finishUnlessTerminated ends a container that has run for its time. A container whose end the process has to order runs
-// on until the machine reads the order, so that a lost order shows.
+// finishUnlessTerminated ends a container that has run for its time. A container whose end the process has to order
+// runs on until the machine reads the order, so that a lost order shows.
 func (m *machine) finishUnlessTerminated(p *placement) {
 	if p.terminationIncarnation == 0 {
 		m.finish(p, jsonlines.CauseNormal)
--- a/internal/testbed/platformcheck/machineconn.go
+++ b/internal/testbed/platformcheck/machineconn.go
@@ -16,6 +16,7 @@
 	lines   lineReader
 	open    bool
 	deaf    bool     // the machine reads nothing more on it
+	garbled bool     // the machine has written a malformed line on it, after which the process reads no line
 	offers  []*offer // in flight or finished
 }
 
@@ -106,6 +107,9 @@
 
 func (c *machineConn) writeMarked(line string, onRead func()) {
 	c.machine.w.tracef("%s sends %s", c.machine.id, line)
+	if c.garbled {
+		onRead = nil
+	}
 	c.machine.whenReachable(func() {
 		if c.open {
 			c.conn.Write([]byte(line), onRead)
--- a/internal/testbed/platformcheck/responses.go
+++ b/internal/testbed/platformcheck/responses.go
@@ -81,6 +81,7 @@
 		c.reset()
 	case respondGarbled:
 		c.fail(o, `{"op":"accept","call":"`+"\n")
+		c.garbled = true
 	case respondOtherFirst:
 		c.write(acceptLine(unknownRequestID, "another"))
 		c.accept(o)
