--- a/review/_lab2/cases/chaos.go
+++ b/review/_lab2/cases/chaos.go
@@ -83,6 +83,30 @@
 			case 'r':
 				l.rec.note("CHAOS machine %s resets its connections", m.Name)
 				m.ResetConns()
+			case 'n':
+				l.rec.note("CHAOS list unreachable")
+				l.list.BecomeUnreachable()
+				time.Sleep(6 * time.Second)
+				l.list.BecomeReachable()
+			case 'z':
+				l.rec.note("CHAOS machine %s hangs", m.Name)
+				m.Freeze()
+				time.Sleep(time.Duration(1000+rand.IntN(9000)) * time.Millisecond)
+				m.Thaw()
+			case 'w':
+				l.rec.note("CHAOS machine %s drains", m.Name)
+				m.Evacuate()
+				l.list.SetState(m, protocol.MachineDraining)
+				time.Sleep(6 * time.Second)
+				m.EndDrain()
+				l.list.SetState(m, protocol.MachineServing)
+			case 'h':
+				l.rec.note("CHAOS host of %s dies", s.Name)
+				l.doors[s.Name].die()
+				s.Stop(syscall.SIGKILL)
+				time.Sleep(4 * time.Second)
+				_ = s.Start()
+				l.doors[s.Name].heal()
 			case 'd':
 				l.rec.note("CHAOS controller killed")
 				l.controller.Signal(syscall.SIGKILL)
