--- a/review/_lab2/cases/main.go
+++ b/review/_lab2/cases/main.go
@@ -21,8 +21,13 @@
 	"unanswered": unanswered,
 }
 
+// platformCases are the cases of `glenport platform`.
+var platformCases = map[string]func(rec *recorder, root string, trouble bool) (broken bool, err error){
+	"refused": refused,
+}
+
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil && platformCases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: cases NAME ROOT RECORD")
 		os.Exit(exitNotRun)
 	}
@@ -42,7 +47,10 @@
 	rec := &recorder{file: file, began: time.Now()}
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.note("case %s, disruption %v", name, trouble)
-	l, err := newLab(rec, root)
+	var l *lab
+	if platformCases[name] == nil {
+		l, err = newLab(rec, root)
+	}
 	code := exitNotRun
 	done := make(chan struct{})
 	go func() {
@@ -51,7 +59,12 @@
 			return
 		}
 		var broken bool
-		if broken, err = cases[name](l, trouble); err == nil {
+		if run := platformCases[name]; run != nil {
+			broken, err = run(rec, root, trouble)
+		} else {
+			broken, err = cases[name](l, trouble)
+		}
+		if err == nil {
 			code = exitHeld
 			if broken {
 				code = exitBroken
