--- a/review/_lab2/cases/chaos.go
+++ b/review/_lab2/cases/chaos.go
@@ -49,6 +49,12 @@
 				time.Sleep(3 * time.Second)
 				_ = s.Start()
 				l.rec.note("CHAOS back %s", s.Name)
+			case 'T':
+				l.rec.note("CHAOS stop %s", s.Name)
+				s.Stop(syscall.SIGTERM)
+				time.Sleep(time.Duration(500+rand.IntN(4000)) * time.Millisecond)
+				_ = s.Start()
+				l.rec.note("CHAOS back %s", s.Name)
 			case 'c':
 				l.proxies[m.Name].cut()
 				time.Sleep(time.Duration(1000+rand.IntN(9000)) * time.Millisecond)
--- a/review/_lab2/cases/platform.go
+++ b/review/_lab2/cases/platform.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -67,7 +68,9 @@
 	listener net.Listener
 	conns    map[*lineConn]bool
 	running  map[string]bool
-	accepted int // connections
+	hung     bool
+	// containers whose end is reported on the next connection that is opened
+	unreported []string
 }
 
 func newNode(rec *recorder, name string) (*node, error) {
@@ -89,8 +92,17 @@
 		c := &lineConn{Conn: conn}
 		n.mu.Lock()
 		n.conns[c] = true
-		n.accepted++
+		hung, ended := n.hung, n.unreported
+		if !hung {
+			n.unreported = nil
+		}
 		n.mu.Unlock()
+		if hung {
+			return
+		}
+		for _, id := range ended {
+			c.send(message{Op: "end", Call: id, Why: cause(16)})
+		}
 		go func() {
 			readLines(conn, func(m message) { n.handle(c, m) })
 			n.mu.Lock()
@@ -120,12 +132,18 @@
 }
 
 func (n *node) handle(c *lineConn, m message) {
+	n.mu.Lock()
+	hung := n.hung
+	n.mu.Unlock()
+	if hung {
+		return
+	}
 	switch m.Op {
 	case "test":
 		c.send(message{Op: "tested", Call: m.Call, With: map[string]string{"load": "x0:20;x1:50"}, Why: cause(1)})
 	case "offer":
 		n.rec.note("%s gets offer %s (class %s)", n.name, m.Call, m.With["class"])
-		time.AfterFunc(300*time.Millisecond, func() { // the start
+		time.AfterFunc(time.Second, func() { // the start: 6 to 12 times 87 to 240 ms of work
 			n.mu.Lock()
 			n.running[m.Call] = true
 			n.mu.Unlock()
@@ -144,12 +162,30 @@
 	}
 }
 
+// list returns the containers that run.
+func (n *node) list() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var all []string
+	for id := range n.running {
+		all = append(all, id)
+	}
+	return all
+}
+
 func (n *node) runs(id string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.running[id]
 }
 
+// open is the number of open connections.
+func (n *node) open() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns)
+}
+
 func (n *node) count() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -170,7 +206,10 @@
 	placed   map[string]bool
 	answered map[string]string
 	released map[string]int // by container: the cause of the release that the owner got
-	tested   bool
+	at       map[string]string
+	// by container: when the owner got its release
+	releasedAt map[string]time.Time
+	tested     bool
 }
 
 const settings = `{"me":0,"balancers":3,"az":0,"azs":["hall-a","hall-b","hall-c"],"kinds":["small","large"],
@@ -198,7 +237,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &platform{rec: rec, dir: dir, placed: map[string]bool{}, answered: map[string]string{}, released: map[string]int{}}
+	p := &platform{rec: rec, dir: dir, placed: map[string]bool{}, answered: map[string]string{}, released: map[string]int{}, at: map[string]string{}, releasedAt: map[string]time.Time{}}
 	var hosts []map[string]any
 	for i := range 10 {
 		n, err := newNode(rec, fmt.Sprintf("s-%08x", 0x00c41f70+i))
@@ -302,6 +341,7 @@
 	case "accept":
 		p.rec.note("owner gets accept of %s (%s)", m.Call, m.Desc)
 		p.placed[m.Call], p.answered[m.Call] = true, "placed"
+		p.at[m.Call] = strings.TrimPrefix(m.Desc, "on ")
 	case "end":
 		if !p.placed[m.Call] {
 			p.rec.note("owner gets end of request %s, cause %d", m.Call, why)
@@ -309,7 +349,7 @@
 			return
 		}
 		p.rec.note("owner gets release of %s, cause %d", m.Call, why)
-		p.released[m.Call] = why
+		p.released[m.Call], p.releasedAt[m.Call] = why, time.Now()
 		p.owner.send(message{Op: "ended", Call: m.Call})
 	}
 }
@@ -359,16 +399,16 @@
 	classes := []string{"matcher", "report-run"}
 	for i := range 80 {
 		p.request(classes[i%2])
-		time.Sleep(40 * time.Millisecond)
+		time.Sleep(120 * time.Millisecond)
 	}
-	time.Sleep(time.Second)
+	time.Sleep(7 * time.Second) // connections without a container are closed after 5 s
 	victim := p.nodes[0]
 	for _, n := range p.nodes {
-		if n.count() > victim.count() {
+		if n.count()-3*n.open() > victim.count()-3*victim.open() {
 			victim = n
 		}
 	}
-	rec.note("machine %s runs %d containers", victim.name, victim.count())
+	rec.note("machine %s runs %d containers and has %d connections", victim.name, victim.count(), victim.open())
 	if trouble {
 		victim.refuse()
 	}
