--- a/review/_lab2/cases/chaos.go
+++ b/review/_lab2/cases/chaos.go
@@ -115,9 +115,11 @@
 				l.doors[s.Name].heal()
 			case 'd':
 				l.rec.note("CHAOS controller killed")
-				l.controller.Signal(syscall.SIGKILL)
+				mu.Lock()
+				defer mu.Unlock()
+				l.killController()
 				time.Sleep(time.Second)
-				_ = l.controller.Launch()
+				_ = l.launchController()
 			case 'l':
 				l.rec.note("CHAOS answers of %s are lost", m.Name)
 				l.proxies[m.Name].setFilter(func(_ string, toServer bool, f protocol.Frame) bool {
@@ -155,6 +157,13 @@
 			}
 		}
 		l.rec.note("FOUND-COUNT %s: %d live, API %d running", service, len(l.live(service)), l.runningCount(service))
+		for _, i := range l.live(service) {
+			for _, j := range jobs {
+				if j.Service == service && i.cores != j.Cores {
+					l.rec.note("FOUND-OLD %s has %g cores instead of %g", i.id, i.cores, j.Cores)
+				}
+			}
+		}
 		l.show(service)
 	}
 	return broken, nil
--- a/review/_lab2/cases/jobs.go
+++ b/review/_lab2/cases/jobs.go
@@ -333,10 +333,10 @@
 		if !trouble || i%2 == 1 {
 			continue
 		}
-		l.rec.note("machine %s leaves offers of service grades unanswered", m.Name)
+		l.rec.note("machine %s leaves offers of service merge unanswered", m.Name)
 		l.proxies[m.Name].setFilter(func(_ string, toServer bool, f protocol.Frame) bool {
 			offer, ok := f.(*protocol.Offer)
-			if !ok || !toServer || offer.Spec.Service != "grades" {
+			if !ok || !toServer || offer.Spec.Service != "merge" {
 				return false
 			}
 			mu.Lock()
@@ -345,20 +345,20 @@
 			return time.Now().Before(until) && offers%10 != 0
 		})
 	}
-	spec := job{ID: "grades", Service: "grades", Workload: "report-run", Customer: "schools", Cores: 0.5, MemoryGiB: 1,
-		RunForMS: hour, Count: 40}
+	spec := job{ID: "merge", Service: "merge", Workload: "corpus-merge", Customer: "offices", Cores: 14, MemoryGiB: 22,
+		RunForMS: hour, Count: 8}
 	if err := l.change(http.MethodPost, "/v1/jobs", spec); err != nil {
 		return false, err
 	}
 	time.Sleep(time.Until(until))
 	l.rec.note("all machines answer all offers again")
-	l.show("grades")
-	err := l.await("all containers run", time.Minute, func() bool { return l.runningCount("grades") == 40 })
-	l.show("grades")
+	l.show("merge")
+	err := l.await("all containers run", time.Minute, func() bool { return l.runningCount("merge") == 8 })
+	l.show("merge")
 	if err == nil {
 		return false, nil
 	}
-	running := len(l.live("grades"))
-	l.rec.note("%d of 40 containers run, a minute after the trouble", running)
-	return running < 40, nil
+	running := len(l.live("merge"))
+	l.rec.note("%d of 8 containers run, a minute after the trouble", running)
+	return running < 8, nil
 }
--- a/review/_lab2/cases/lab.go
+++ b/review/_lab2/cases/lab.go
@@ -9,7 +9,9 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/exec"
 	"path/filepath"
+	"runtime"
 	"sort"
 	"strings"
 	"sync"
@@ -53,6 +55,10 @@
 	list       *emulator.MachineList
 	schedulers []*process.Scheduler
 	controller *process.Controller
+
+	controllerProcess *os.Process
+	controllerExited  chan struct{}
+
 	stopSample chan struct{}
 	sampled    sync.WaitGroup
 
@@ -194,7 +200,7 @@
 	if err != nil {
 		return err
 	}
-	if err := l.controller.Launch(); err != nil {
+	if err := l.launchController(); err != nil {
 		return err
 	}
 	time.Sleep(2500 * time.Millisecond) // the schedulers get the machine list, which is 1.5 s late
@@ -204,6 +210,41 @@
 	})
 }
 
+// launchController starts the controller from an OS thread that outlives it: the kernel kills it if the script dies.
+func (l *lab) launchController() error {
+	started := make(chan error, 1)
+	go func() {
+		runtime.LockOSThread()
+		defer runtime.UnlockOSThread()
+		log, err := os.OpenFile(filepath.Join(l.dir, "controller.log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			started <- err
+			return
+		}
+		defer log.Close()
+		command := exec.Command(l.program, "controller", "-c", filepath.Join(l.dir, "controller.yaml"))
+		command.Stderr = log
+		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		if err := command.Start(); err != nil {
+			started <- err
+			return
+		}
+		exited := make(chan struct{})
+		l.controllerProcess, l.controllerExited = command.Process, exited
+		started <- nil
+		_ = command.Wait() // returns an error if the process was killed
+		close(exited)
+	}()
+	return <-started
+}
+
+func (l *lab) killController() {
+	if l.controllerProcess != nil {
+		_ = l.controllerProcess.Kill()
+		<-l.controllerExited
+	}
+}
+
 // sample records every 50 ms which containers run on each machine.
 func (l *lab) sample() {
 	for {
@@ -271,9 +312,7 @@
 func (l *lab) close() {
 	close(l.stopSample)
 	l.sampled.Wait()
-	if l.controller != nil {
-		l.controller.Signal(syscall.SIGKILL)
-	}
+	l.killController()
 	for _, s := range l.schedulers {
 		s.Close(syscall.SIGKILL)
 	}
--- a/review/_lab2/cases/platform.go
+++ b/review/_lab2/cases/platform.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -281,6 +282,8 @@
 		return p, err
 	}
 	p.placer.Stdout, p.placer.Stderr = log, log
+	p.placer.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	runtime.LockOSThread() // the kernel kills the placer if this thread, or the script, dies
 	if err := p.placer.Start(); err != nil {
 		p.placer = nil
 		return p, err
